Serve a program end to end over a thin whole path

Cause: nothing stood yet; a request had to go from a caller to an engine and to a plain service through separate roles before any of them is refined.

Change: entry (iris), program home, upstream home, group-committed log with read-back, rule files, owner's page, and stand-ins for log, list, engines and services.

No figures of speed yet.

--- /dev/null
+++ b/dialer/list.go
@@ -0,0 +1,39 @@
+package dialer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/citronpier/citronpier/descriptor"
+)
+
+// List is the platform's list of hosts and upstreams over HTTP.
+type List struct {
+	address string
+	http    *http.Client
+}
+
+// NewList returns the list at an address.
+func NewList(address string, dial Dial) *List {
+	return &List{address: address, http: &http.Client{Transport: newTransport(dial)}}
+}
+
+// Members returns the list.
+func (l *List) Members(ctx context.Context) (descriptor.Members, error) {
+	var m descriptor.Members
+	err := exchangeJSON(ctx, l.http, http.MethodGet, "http://"+l.address+"/members", nil, &m)
+	return m, err
+}
+
+// Announce tells the platform that a host is live or leaving.
+func (l *List) Announce(ctx context.Context, host descriptor.Host) error {
+	raw, err := json.Marshal(host)
+	if err != nil {
+		return fmt.Errorf("encode host: %w", err)
+	}
+	_, err = exchange(ctx, l.http, http.MethodPut, "http://"+l.address+"/hosts/"+url.PathEscape(host.ID), raw)
+	return err
+}
--- /dev/null
+++ b/dialer/log.go
@@ -0,0 +1,45 @@
+package dialer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/citronpier/citronpier/connector"
+)
+
+// Log is the platform's log over HTTP.
+type Log struct {
+	address string
+	http    *http.Client
+}
+
+// NewLog returns the log at an address.
+func NewLog(address string, dial Dial) *Log {
+	return &Log{address: address, http: &http.Client{Transport: newTransport(dial)}}
+}
+
+type appended struct {
+	Offset int64 `json:"offset"`
+}
+
+// Append adds a record to a stream.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	var a appended
+	err := exchangeJSON(ctx, l.http, http.MethodPost, l.url(stream), data, &a)
+	return a.Offset, err
+}
+
+// Read returns the records of a stream from an offset on.
+func (l *Log) Read(ctx context.Context, stream string, from int64, wait time.Duration) (connector.Page, error) {
+	var p connector.Page
+	u := fmt.Sprintf("%s?from=%d&wait=%d", l.url(stream), from, wait.Milliseconds())
+	err := exchangeJSON(ctx, l.http, http.MethodGet, u, nil, &p)
+	return p, err
+}
+
+func (l *Log) url(stream string) string {
+	return "http://" + l.address + "/streams/" + url.PathEscape(stream) + "/records"
+}
--- /dev/null
+++ b/reporter/reporter.go
@@ -0,0 +1,129 @@
+package reporter
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/parser"
+	"github.com/citronpier/citronpier/recorder"
+	"github.com/citronpier/citronpier/refuser"
+)
+
+const (
+	lowestMillis  = 1
+	highestMillis = int64(24 * time.Hour / time.Millisecond)
+	digits        = 2
+	// keptLost bounds the lost calls that one summary names.
+	keptLost = 64
+)
+
+// A Reporter counts what happened on one host since its last summary. The
+// zero value has counted nothing.
+type Reporter struct {
+	mu       sync.Mutex
+	kinds    map[string]*tally
+	refusals map[string]int64
+	lost     []*recorder.Lost
+}
+
+// tally counts the finished programs of one kind.
+type tally struct {
+	rank     descriptor.Rank
+	finished int64
+	within   int64
+	latency  *hdrhistogram.Histogram
+}
+
+// Finished counts a finished program.
+func (r *Reporter) Finished(kind parser.Kind, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tally(kind)
+	t.finished++
+	if kind.Within > 0 && latency <= kind.Within {
+		t.within++
+	}
+	_ = t.latency.RecordValue(min(highestMillis, max(lowestMillis, latency.Milliseconds())))
+}
+
+func (r *Reporter) tally(kind parser.Kind) *tally {
+	if r.kinds == nil {
+		r.kinds = make(map[string]*tally)
+	}
+	t, ok := r.kinds[kind.Name]
+	if !ok {
+		t = &tally{rank: kind.Rank, latency: hdrhistogram.New(lowestMillis, highestMillis, digits)}
+		r.kinds[kind.Name] = t
+	}
+	return t
+}
+
+// Refused counts a refusal.
+func (r *Reporter) Refused(reason refuser.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refusals == nil {
+		r.refusals = make(map[string]int64)
+	}
+	r.refusals[string(reason)]++
+}
+
+// Lost notes a call whose outcome is unknown.
+func (r *Reporter) Lost(key, service string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.lost) < keptLost {
+		r.lost = append(r.lost, &recorder.Lost{Key: key, Service: service, Time: now.UnixMilli()})
+	}
+}
+
+// Take returns a summary of what was counted and starts anew. It returns nil
+// where nothing was counted.
+func (r *Reporter) Take(host string, now time.Time) (*recorder.Summary, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, err := r.summary(host, now)
+	if err != nil {
+		return nil, err
+	}
+	r.kinds, r.refusals, r.lost = nil, nil, nil
+	return s, nil
+}
+
+// Peek returns a summary of what was counted and goes on counting. It returns
+// nil where nothing was counted.
+func (r *Reporter) Peek(host string, now time.Time) *recorder.Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, err := r.summary(host, now)
+	if err != nil {
+		return nil
+	}
+	return s
+}
+
+func (r *Reporter) summary(host string, now time.Time) (*recorder.Summary, error) {
+	if len(r.kinds) == 0 && len(r.refusals) == 0 && len(r.lost) == 0 {
+		return nil, nil
+	}
+	s := &recorder.Summary{
+		Host: host, Minute: now.Unix() / 60,
+		Refusals: maps.Clone(r.refusals), Lost: slices.Clone(r.lost),
+	}
+	for name, t := range r.kinds {
+		encoded, err := t.latency.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+		if err != nil {
+			return nil, fmt.Errorf("encode histogram of kind %s: %w", name, err)
+		}
+		s.Kinds = append(s.Kinds, &recorder.KindSummary{
+			Kind: name, Rank: t.rank.String(), Finished: t.finished, Within: t.within, Histogram: encoded,
+		})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/server/doc.go
@@ -0,0 +1,3 @@
+// Package server answers callers: the OpenAI-style calls, programs, plain
+// services, and the pages of a host.
+package server
--- /dev/null
+++ b/server/program.go
@@ -0,0 +1,120 @@
+package server
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/locator"
+	"github.com/citronpier/citronpier/messenger"
+	"github.com/citronpier/citronpier/refuser"
+)
+
+const programPrefix = "program-"
+
+// opening is the body of POST /v1/programs.
+type opening struct {
+	Kind string `json:"kind"`
+	// Budget is in generated tokens; 0 is the kind's budget.
+	Budget int64 `json:"budget"`
+}
+
+// opened is the answer to POST /v1/programs.
+type opened struct {
+	ID     string            `json:"id"`
+	Token  string            `json:"token"`
+	Budget int64             `json:"budget"`
+	Hosts  []descriptor.Host `json:"hosts"`
+}
+
+// open answers POST /v1/programs.
+func (s *Server) open(ctx iris.Context) {
+	answer, err := s.opened(ctx)
+	if err != nil {
+		s.refuse(ctx, err)
+		return
+	}
+	ctx.StopWithJSON(http.StatusCreated, answer)
+}
+
+func (s *Server) opened(ctx iris.Context) (*opened, error) {
+	o, err := s.organisation(ctx)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := s.body(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var in opening
+	if len(raw) > 0 {
+		if err := json.Unmarshal(raw, &in); err != nil {
+			return nil, refuser.New(refuser.Malformed, "the body is not valid: %w", err)
+		}
+	}
+	if in.Budget < 0 {
+		return nil, refuser.New(refuser.Malformed, "budget must not be below 0")
+	}
+	id := programPrefix + rand.Text()
+	route := locator.Route(id)
+	reply, err := s.config.Commands.Open(ctx.Request().Context(), route, &messenger.OpenRequest{
+		Organisation: o.Name, Kind: in.Kind, Budget: in.Budget, Program: id,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &opened{
+		ID: reply.GetProgram(), Token: reply.GetToken(), Budget: reply.GetBudget(),
+		Hosts: s.config.Queries.Hosts(route),
+	}, nil
+}
+
+// finish answers DELETE /v1/programs/{id}.
+func (s *Server) finish(ctx iris.Context) {
+	o, err := s.organisation(ctx)
+	if err != nil {
+		s.refuse(ctx, err)
+		return
+	}
+	id := ctx.Params().Get("id")
+	_, err = s.config.Commands.Finish(ctx.Request().Context(), locator.Route(id), &messenger.FinishRequest{
+		Organisation: o.Name, Program: id,
+	})
+	if err != nil {
+		s.refuse(ctx, err)
+		return
+	}
+	ctx.StatusCode(http.StatusNoContent)
+}
+
+// cancelled is the answer to DELETE /v1/calls/{id}.
+type cancelled struct {
+	ID  string `json:"id"`
+	Run string `json:"run"`
+}
+
+// cancel answers DELETE /v1/calls/{id}.
+func (s *Server) cancel(ctx iris.Context) {
+	o, err := s.organisation(ctx)
+	if err != nil {
+		s.refuse(ctx, err)
+		return
+	}
+	id := ctx.Params().Get("id")
+	route, ok := routeOf(id)
+	if !ok {
+		s.refuse(ctx, refuser.New(refuser.Malformed, "%q is no call's id", id))
+		return
+	}
+	reply, err := s.config.Commands.Cancel(ctx.Request().Context(), route, &messenger.CancelRequest{
+		Organisation: o.Name, Call: id,
+	})
+	if err != nil {
+		s.refuse(ctx, refuser.From(err).WithRun(descriptor.RunUnknown))
+		return
+	}
+	ctx.StopWithJSON(http.StatusOK, cancelled{ID: id, Run: reply.GetRun()})
+}
--- /dev/null
+++ b/standin/fault.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Faults are the fault switches that every stand-in has. The zero value has
+// none switched on.
+type Faults struct {
+	mu       sync.Mutex
+	down     bool
+	slow     time.Duration
+	loseNext int
+	silenced time.Time
+}
+
+// SetDown makes the stand-in break every connection.
+func (f *Faults) SetDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// SetSlow delays every answer.
+func (f *Faults) SetSlow(delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow = delay
+}
+
+// LoseAnswers makes the next n requests take effect without an answer.
+func (f *Faults) LoseAnswers(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseNext = n
+}
+
+// Silence makes every stream that was opened before now go silent for good.
+func (f *Faults) Silence(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silenced = now
+}
+
+func (f *Faults) isSilent(opened time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return opened.Before(f.silenced)
+}
+
+// loses reports whether the present request's answer is lost.
+func (f *Faults) loses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.loseNext == 0 {
+		return false
+	}
+	f.loseNext--
+	return true
+}
+
+// wrap returns a handler under the down and slow switches.
+func (f *Faults) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		down, slow := f.down, f.slow
+		f.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		sleep(r.Context(), slow)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// abort breaks the connection of the present request.
+func abort() { panic(http.ErrAbortHandler) }
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/standin/link.go
@@ -0,0 +1,206 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// A Link is all of one process's connections. It can be killed, as when the
+// process dies; paused, as when the process stands still; or made to lose
+// track of its open connections, while new ones work.
+type Link struct {
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	listen func(address string) (net.Listener, error)
+
+	mu        sync.Mutex
+	conns     map[*linkConn]struct{}
+	listeners []net.Listener
+	dead      bool
+	// gate is closed while the process runs.
+	gate chan struct{}
+}
+
+// DeadError says that the process of a link was killed.
+type DeadError struct{}
+
+// Error describes the failure.
+func (*DeadError) Error() string { return "the process is dead" }
+
+// NewLink returns the link of a running process.
+func NewLink(dial func(context.Context, string, string) (net.Conn, error),
+	listen func(string) (net.Listener, error),
+) *Link {
+	gate := make(chan struct{})
+	close(gate)
+	return &Link{dial: dial, listen: listen, conns: make(map[*linkConn]struct{}), gate: gate}
+}
+
+// Dial opens a connection.
+func (l *Link) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, err
+	}
+	c, err := l.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return l.add(c)
+}
+
+// Listen accepts connections at an address.
+func (l *Link) Listen(address string) (net.Listener, error) {
+	inner, err := l.listen(address)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listeners = append(l.listeners, inner)
+	return &linkListener{Listener: inner, link: l}, nil
+}
+
+// Kill breaks every connection and refuses new ones.
+func (l *Link) Kill() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dead = true
+	for c := range l.conns {
+		_ = c.Conn.Close()
+	}
+	for _, inner := range l.listeners {
+		_ = inner.Close()
+	}
+}
+
+// Pause holds everything back until Resume.
+func (l *Link) Pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gate = make(chan struct{})
+}
+
+// Resume lets a paused process go on.
+func (l *Link) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.gate)
+}
+
+// Forget makes every open connection go silent for good. New ones work.
+func (l *Link) Forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.forget()
+	}
+}
+
+// pass waits while the process is paused.
+func (l *Link) pass(ctx context.Context) error {
+	l.mu.Lock()
+	gate, dead := l.gate, l.dead
+	l.mu.Unlock()
+	if dead {
+		return &net.OpError{Op: "dial", Err: &DeadError{}}
+	}
+	select {
+	case <-gate:
+		return nil
+	case <-ctx.Done():
+		return &net.OpError{Op: "dial", Err: ctx.Err()}
+	}
+}
+
+func (l *Link) add(c net.Conn) (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead {
+		_ = c.Close()
+		return nil, &net.OpError{Op: "dial", Err: &DeadError{}}
+	}
+	lc := &linkConn{Conn: c, link: l, forgotten: make(chan struct{}), closed: make(chan struct{})}
+	l.conns[lc] = struct{}{}
+	return lc, nil
+}
+
+func (l *Link) remove(c *linkConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+type linkListener struct {
+	net.Listener
+	link *Link
+}
+
+func (l *linkListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if lc, err := l.link.add(c); err == nil {
+			return lc, nil
+		}
+	}
+}
+
+// linkConn is one connection of a link.
+type linkConn struct {
+	net.Conn
+	link      *Link
+	forgotten chan struct{}
+	closed    chan struct{}
+	forget1   sync.Once
+	close1    sync.Once
+}
+
+func (c *linkConn) forget() { c.forget1.Do(func() { close(c.forgotten) }) }
+
+// hold waits while the process is paused, and for ever on a connection that
+// was lost track of.
+func (c *linkConn) hold() error {
+	c.link.mu.Lock()
+	gate := c.link.gate
+	c.link.mu.Unlock()
+	select {
+	case <-gate:
+	case <-c.closed:
+		return net.ErrClosed
+	}
+	select {
+	case <-c.forgotten:
+		<-c.closed
+		return net.ErrClosed
+	default:
+		return nil
+	}
+}
+
+// Read reads what has arrived.
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if hold := c.hold(); hold != nil {
+		return 0, hold
+	}
+	return n, err
+}
+
+// Write sends.
+func (c *linkConn) Write(p []byte) (int, error) {
+	if err := c.hold(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Close ends the connection.
+func (c *linkConn) Close() error {
+	c.close1.Do(func() {
+		close(c.closed)
+		c.link.remove(c)
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/list.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/citronpier/citronpier/descriptor"
+)
+
+// A List is the platform's list of hosts and upstreams. The zero value is
+// empty and has no lag.
+type List struct {
+	Faults
+	// Lag is how late the list shows a change.
+	Lag time.Duration
+	// Expire is how long a host is listed after its last announcement; 0 is
+	// for ever.
+	Expire time.Duration
+
+	mu       sync.Mutex
+	hosts    map[string]announced
+	versions []version
+}
+
+type announced struct {
+	host descriptor.Host
+	at   time.Time
+}
+
+// version is the list as it stood from a time on.
+type version struct {
+	members descriptor.Members
+	from    time.Time
+}
+
+// Handler returns the list's HTTP interface.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, l.Members(time.Now()))
+	})
+	mux.HandleFunc("PUT /hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		var h descriptor.Host
+		if err := json.NewDecoder(r.Body).Decode(&h); err != nil {
+			http.Error(w, "host is not valid", http.StatusBadRequest)
+			return
+		}
+		l.Announce(h, time.Now())
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("PUT /upstreams/{id}", func(w http.ResponseWriter, r *http.Request) {
+		var u descriptor.Upstream
+		if err := json.NewDecoder(r.Body).Decode(&u); err != nil {
+			http.Error(w, "upstream is not valid", http.StatusBadRequest)
+			return
+		}
+		l.SetUpstream(u, time.Now())
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return l.wrap(mux)
+}
+
+// Announce lists a host.
+func (l *List) Announce(h descriptor.Host, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hosts == nil {
+		l.hosts = make(map[string]announced)
+	}
+	old, known := l.hosts[h.ID]
+	l.hosts[h.ID] = announced{host: h, at: now}
+	if !known || old.host != h {
+		l.record(now)
+	}
+}
+
+// SetUpstream lists an upstream, or changes its entry.
+func (l *List) SetUpstream(u descriptor.Upstream, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.newest()
+	m.Upstreams = slices.DeleteFunc(slices.Clone(m.Upstreams), func(o descriptor.Upstream) bool { return o.ID == u.ID })
+	m.Upstreams = append(m.Upstreams, u)
+	slices.SortFunc(m.Upstreams, func(a, b descriptor.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	l.versions = append(l.versions, version{members: m, from: now})
+}
+
+// Members returns the list as it is shown at a time.
+func (l *List) Members(now time.Time) descriptor.Members {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	var shown descriptor.Members
+	for _, v := range l.versions {
+		if !v.from.Add(l.Lag).After(now) {
+			shown = v.members
+		}
+	}
+	return shown
+}
+
+func (l *List) newest() descriptor.Members {
+	if len(l.versions) == 0 {
+		return descriptor.Members{}
+	}
+	return l.versions[len(l.versions)-1].members
+}
+
+func (l *List) expire(now time.Time) {
+	if l.Expire == 0 {
+		return
+	}
+	before := len(l.hosts)
+	for id, a := range l.hosts {
+		if now.Sub(a.at) > l.Expire {
+			delete(l.hosts, id)
+		}
+	}
+	if len(l.hosts) != before {
+		l.record(now)
+	}
+}
+
+func (l *List) record(now time.Time) {
+	m := l.newest()
+	m.Hosts = nil
+	for _, a := range l.hosts {
+		m.Hosts = append(m.Hosts, a.host)
+	}
+	slices.SortFunc(m.Hosts, func(a, b descriptor.Host) int { return strings.Compare(a.ID, b.ID) })
+	l.versions = append(l.versions, version{members: m, from: now})
+}
--- /dev/null
+++ b/stop.go
@@ -0,0 +1,100 @@
+package citronpier
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/locator"
+	"github.com/citronpier/citronpier/messenger"
+)
+
+const (
+	// handEvery is the time between two attempts to hand programs over.
+	handEvery = 100 * time.Millisecond
+	// handBudget bounds one hand-over.
+	handBudget = 2 * time.Second
+	// flushBudget bounds the last append.
+	flushBudget = 2 * time.Second
+)
+
+// stop takes the host out of service: it is no longer named to callers, hands
+// its programs over, forwards late calls and waits for those under way.
+func (h *Host) stop(ctx context.Context) {
+	h.settings.logger.Info().Msg("stopping")
+	h.leaving.Store(true)
+	h.members.leave(h.settings.self.ID)
+	h.announce(ctx)
+	h.coordinator.Leave()
+	drain, cancel := context.WithTimeout(ctx, h.settings.drain)
+	defer cancel()
+	h.linger(drain)
+	if err := h.callers.Shutdown(drain); err != nil {
+		h.settings.logger.Warn().Err(err).Msg("calls were cut at the drain limit")
+	}
+	if err := h.coordinator.Drain(drain); err != nil {
+		h.settings.logger.Warn().Err(err).Msg("calls were cut at the drain limit")
+	}
+	h.handOver(drain)
+	if err := h.peers.Shutdown(drain); err != nil {
+		h.settings.logger.Warn().Err(err).Msg("peer streams were cut at the drain limit")
+	}
+	h.flush(ctx)
+	h.settings.logger.Info().Msg("stopped")
+}
+
+// linger forwards the calls of callers that still keep this host's address,
+// and hands programs over as their calls end.
+func (h *Host) linger(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, h.settings.linger)
+	defer cancel()
+	for ctx.Err() == nil {
+		h.handOver(ctx)
+		pause(ctx, handEvery)
+	}
+}
+
+// handOver gives the programs without a call under way to their next homes.
+func (h *Host) handOver(ctx context.Context) {
+	now := h.settings.clock()
+	view := h.members.view()
+	byHost := make(map[descriptor.Host][]*messenger.ProgramState)
+	for _, s := range h.coordinator.Hand() {
+		next, ok := view.Home(locator.Route(s.GetProgram()), now)
+		if ok && next.ID != h.settings.self.ID {
+			byHost[next] = append(byHost[next], s)
+		}
+	}
+	for next, states := range byHost {
+		h.handTo(ctx, next, states)
+	}
+}
+
+func (h *Host) handTo(ctx context.Context, next descriptor.Host, states []*messenger.ProgramState) {
+	ctx, cancel := context.WithTimeout(ctx, handBudget)
+	defer cancel()
+	reply, err := h.settings.peers.Commands(next).Adopt(ctx, &messenger.AdoptRequest{Programs: states})
+	if err != nil {
+		h.settings.logger.Warn().Err(err).Str("to", next.ID).Int("programs", len(states)).Msg("hand-over failed")
+		return
+	}
+	h.settings.logger.Info().Str("to", next.ID).Int64("programs", reply.GetAdopted()).Msg("handed over")
+}
+
+// flush puts the last summary and what waits before it into the log.
+func (h *Host) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushBudget)
+	defer cancel()
+	if err := h.commitSummary(ctx); err != nil {
+		h.settings.logger.Warn().Err(err).Msg("last summary was not recorded")
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
