Add the daemon, the tool and the demo

Cause: a new user needs one command that shows the whole path, and operators need a daemon with checked settings. The demo's first run refused 96 calls for want of the log: a replica of an empty stream waited out its first long poll (2 s) before it counted as caught up.

Change: citronpierd and citronpier (urfave/cli), caller client, demo of both deployments that loses a host half way and checks the promises from the ledgers; a replica reads without waiting until it has found the stream's end.

Programs counted by a killed host since its last summary (5 s) are missing on the page; open.

--- /dev/null
+++ b/cmd/citronpier/queries.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/parser"
+	"github.com/citronpier/citronpier/publisher"
+	"github.com/citronpier/citronpier/reporter"
+	"github.com/citronpier/citronpier/server"
+)
+
+// queryBudget bounds one question to a host.
+const queryBudget = 5 * time.Second
+
+// query returns a query that reads one path of a host and prints it.
+func query[T any](name, usage, path string, write func(io.Writer, T) error) *cli.Command {
+	return &cli.Command{
+		Name:         name,
+		Usage:        usage,
+		Category:     categoryQueries,
+		OnUsageError: onUsageError,
+		Flags:        []cli.Flag{hostFlag(), jsonFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var answer T
+			if err := get(ctx, c.String(flagHost), path, &answer); err != nil {
+				return err
+			}
+			if c.Bool(flagJSON) {
+				return printJSON(answer)
+			}
+			return write(os.Stdout, answer)
+		},
+	}
+}
+
+// hostError is a host's answer that is not a success.
+type hostError struct {
+	Host   string
+	Status string
+}
+
+// Error describes the failure.
+func (e *hostError) Error() string { return "host " + e.Host + " answered " + e.Status }
+
+func get(ctx context.Context, host, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, queryBudget)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+path, nil)
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	req.Header.Set("Accept", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("ask host: %w", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return &hostError{Host: host, Status: res.Status}
+	}
+	if err := json.NewDecoder(res.Body).Decode(into); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func checkQuery() *cli.Command {
+	return &cli.Command{
+		Name:         "check",
+		Usage:        "check a rule file; every mistake is told with its line and column",
+		ArgsUsage:    "FILE",
+		Category:     categoryQueries,
+		OnUsageError: onUsageError,
+		Flags:        []cli.Flag{jsonFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			text, err := readFile(c)
+			if err != nil {
+				return err
+			}
+			rules, err := parser.Parser{}.Parse(text)
+			if c.Bool(flagJSON) {
+				return printCheck(rules, err)
+			}
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%d rules, no mistakes\n", len(rules.List))
+			return nil
+		},
+	}
+}
+
+// checked is the JSON answer of check.
+type checked struct {
+	Rules  int            `json:"rules"`
+	Faults []parser.Fault `json:"faults"`
+}
+
+func printCheck(rules parser.Rules, err error) error {
+	faults, _ := err.(parser.Faults)
+	if printErr := printJSON(checked{Rules: len(rules.List), Faults: faults}); printErr != nil {
+		return printErr
+	}
+	return err
+}
+
+// ruleFile is a host's answer about its rules.
+type ruleFile struct {
+	Version int64                   `json:"version"`
+	Text    string                  `json:"text"`
+	History []publisher.Publication `json:"history"`
+}
+
+func rulesQuery() *cli.Command {
+	q := query("rules", "show the rules in force", "/v1/rules", func(w io.Writer, r ruleFile) error {
+		_, err := fmt.Fprintf(w, "# version %d\n%s", r.Version, r.Text)
+		return err
+	})
+	q.Flags = append(q.Flags, &cli.BoolFlag{Name: "history", Usage: "show who published what and when"})
+	whole := q.Action
+	q.Action = func(ctx context.Context, c *cli.Command) error {
+		if !c.Bool("history") {
+			return whole(ctx, c)
+		}
+		var r ruleFile
+		if err := get(ctx, c.String(flagHost), "/v1/rules", &r); err != nil {
+			return err
+		}
+		if c.Bool(flagJSON) {
+			return printJSON(r.History)
+		}
+		return printHistory(os.Stdout, r.History)
+	}
+	return q
+}
+
+func printHistory(w io.Writer, history []publisher.Publication) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "VERSION\tBASE\tAUTHOR\tTIME\tRESULT")
+	for _, p := range history {
+		result := "in force from then"
+		if !p.Accepted {
+			result = "not accepted: " + p.Fault
+		}
+		at := time.UnixMilli(p.Time).Format(time.DateTime)
+		_, _ = fmt.Fprintf(t, "%d\t%d\t%s\t%s\t%s\n", p.Version, p.Base, p.Author, at, result)
+	}
+	return t.Flush()
+}
+
+// hostList is a host's answer about the hosts to use.
+type hostList struct {
+	Hosts []descriptor.Host `json:"hosts"`
+	TTL   int               `json:"ttl"`
+}
+
+func hostsQuery() *cli.Command {
+	return query("hosts", "list the hosts that callers should use", "/v1/hosts", func(w io.Writer, l hostList) error {
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		_, _ = fmt.Fprintln(t, "HOST\tCALLERS\tDATA CENTRE")
+		for _, h := range l.Hosts {
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\n", h.ID, h.Caller, h.DataCentre)
+		}
+		return t.Flush()
+	})
+}
+
+func hostsBehind(ctx context.Context, host string, version int64) ([]string, error) {
+	var list hostList
+	if err := get(ctx, host, "/v1/hosts", &list); err != nil {
+		return nil, err
+	}
+	var behind []string
+	for _, h := range list.Hosts {
+		var s server.Status
+		if err := get(ctx, h.Caller, "/status", &s); err != nil || s.Rules < version {
+			behind = append(behind, h.ID)
+		}
+	}
+	return behind, nil
+}
+
+func statusQuery() *cli.Command {
+	return query("status", "show the state of one host", "/status", func(w io.Writer, s server.Status) error {
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		_, _ = fmt.Fprintf(t, "host\t%s in %s\n", s.Host.ID, s.Host.DataCentre)
+		_, _ = fmt.Fprintf(t, "ready\t%t\n", s.Ready)
+		_, _ = fmt.Fprintf(t, "rules\tversion %d\n", s.Rules)
+		_, _ = fmt.Fprintf(t, "log\toffset %d, answered %d ms ago\n", s.Log, s.Age)
+		_, _ = fmt.Fprintf(t, "programs\t%d\n", s.Programs)
+		_, _ = fmt.Fprintf(t, "hosts\t%d live\n", s.Hosts)
+		return t.Flush()
+	})
+}
+
+func todayQuery() *cli.Command {
+	return query("today", "show the owner's page", "/today", func(w io.Writer, p reporter.Page) error {
+		if err := printPage(w, p); err != nil {
+			return err
+		}
+		if !p.Well {
+			return &unwellError{Summary: p.Summary}
+		}
+		return nil
+	})
+}
+
+// printPage prints the owner's page as text.
+func printPage(w io.Writer, p reporter.Page) error {
+	_, _ = fmt.Fprintf(w, "%s\n%s\n", p.Day, p.Summary)
+	if p.Warning != "" {
+		_, _ = fmt.Fprintln(w, p.Warning)
+	}
+	for _, l := range p.Lost {
+		_, _ = fmt.Fprintf(w, "To look at: at %s a call to %s with key %s may or may not have run.\n", l.Time, l.Service, l.Key)
+	}
+	_, _ = fmt.Fprintln(w, "\nRules")
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, l := range p.Rules {
+		_, _ = fmt.Fprintf(t, "  %s\t%s\t%s\t%s: %s\n", l.Verdict, l.Rule, l.Figure, l.Asker, l.Reason)
+	}
+	_, _ = fmt.Fprintln(t, "\nPrograms\tfinished\thalf within\t95 in 100 within")
+	for _, k := range p.Kinds {
+		_, _ = fmt.Fprintf(t, "  %s (%s)\t%d\t%d ms\t%d ms\n", k.Kind, k.Rank, k.Finished, k.Median, k.P95)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range p.Refusals {
+		_, _ = fmt.Fprintf(w, "Refused %d times: %s (%s)\n", r.Count, r.Words, r.Reason)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/citronpierd/main.go
@@ -0,0 +1,100 @@
+// Command citronpierd is one entry host of citronpier.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/citronpier/citronpier"
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/dialer"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	os.Exit(run(os.Args))
+}
+
+// run returns the exit code of the daemon.
+func run(args []string) int {
+	// A first signal begins a graceful stop. Later ones change nothing: the
+	// drain limit bounds the stop.
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	err := newCommand().Run(ctx, args)
+	var bad *settingError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &bad):
+		fmt.Fprintln(os.Stderr, "citronpierd:", bad)
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, "citronpierd:", err)
+		return exitFailed
+	}
+}
+
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:            "citronpierd",
+		Usage:           "one entry host of citronpier, a scheduler for agent programs",
+		HideHelpCommand: true,
+		Flags:           flags(),
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &settingError{Detail: err.Error()}
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := readSettings(c)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, s)
+		},
+	}
+}
+
+func serve(ctx context.Context, s settings) error {
+	callers, err := net.Listen("tcp", s.caller)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	peers, err := net.Listen("tcp", s.peer)
+	if err != nil {
+		return fmt.Errorf("listen for hosts: %w", err)
+	}
+	dial := dialer.NewDial()
+	host, err := citronpier.New(
+		citronpier.WithHost(descriptor.Host{
+			ID: s.id, Caller: callers.Addr().String(), Peer: peers.Addr().String(), DataCentre: s.dataCentre,
+		}),
+		citronpier.WithTokenKeys(s.tokenKeys...),
+		citronpier.WithPeerKey(s.peerKey),
+		citronpier.WithLog(dialer.NewLog(s.log, dial)),
+		citronpier.WithList(dialer.NewList(s.list, dial)),
+		citronpier.WithDial(dial),
+		citronpier.WithListeners(callers, peers),
+		citronpier.WithLogger(s.logger),
+		citronpier.WithDrain(s.drain),
+		citronpier.WithLinger(s.linger),
+		citronpier.WithMaxBody(s.maxBody),
+	)
+	if err != nil {
+		return err
+	}
+	s.logger.Info().Str("host", s.id).Stringer("caller", callers.Addr()).Stringer("peer", peers.Addr()).Msg("serving")
+	return host.Run(ctx)
+}
--- a/host.go
+++ b/host.go
@@ -25,6 +25,7 @@
 	"github.com/citronpier/citronpier/dispatcher"
 	"github.com/citronpier/citronpier/isolator"
 	"github.com/citronpier/citronpier/messenger"
+	"github.com/citronpier/citronpier/parser"
 	"github.com/citronpier/citronpier/publisher"
 	"github.com/citronpier/citronpier/replayer"
 	"github.com/citronpier/citronpier/reporter"
@@ -225,3 +226,9 @@
 	_ connector.Frames = (*messenger.Stream)(nil)
 	_ connector.Frames = (*messenger.Pipe)(nil)
 )
+
+// Rules returns the rules in force on the host.
+func (h *Host) Rules() parser.Rules { return h.publisher.Rules() }
+
+// Page returns the owner's page of today.
+func (h *Host) Page() reporter.Page { return (*queries)(h).Page() }
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,14 +10,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/citronpier/citronpier"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/dialer"
 	"github.com/citronpier/citronpier/publisher"
 	"github.com/citronpier/citronpier/recorder"
-	"github.com/citronpier/citronpier/replayer"
 	"github.com/citronpier/citronpier/standin"
 )
 
@@ -279,16 +278,14 @@
 
 // Publish puts a rule file on the log and returns its version.
 func (f *Fleet) Publish(base int64, text, author string) (int64, error) {
-	raw, err := proto.Marshal(&recorder.Batch{
-		Version: replayer.Version, Writer: fmt.Sprintf("%s-%d", author, time.Now().UnixNano()), Sequence: 1,
-		Records: []*recorder.Record{{Body: &recorder.Record_Rules{Rules: &recorder.RuleFile{
-			Base: base, Text: text, Author: author, Time: time.Now().UnixMilli(),
-		}}}},
+	now := time.Now()
+	raw, err := publisher.Encode(rand.Text(), &recorder.RuleFile{
+		Base: base, Text: text, Author: author, Time: now.UnixMilli(),
 	})
 	if err != nil {
-		return 0, fmt.Errorf("encode rules: %w", err)
+		return 0, err
 	}
-	return f.Log.Add(publisher.Stream, raw, time.Now()) + 1, nil
+	return f.Log.Add(publisher.Stream, raw, now) + 1, nil
 }
 
 // Ready waits until every host takes calls and knows all others.
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -128,7 +128,13 @@
 func (r *Replayer) read(ctx context.Context) (connector.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readBudget)
 	defer cancel()
-	return r.log.Read(ctx, r.stream, r.Status().Next, readWait)
+	status := r.Status()
+	wait := readWait
+	if !status.Caught {
+		// The end of the stream is to be found, not waited for.
+		wait = 0
+	}
+	return r.log.Read(ctx, r.stream, status.Next, wait)
 }
 
 func (r *Replayer) apply(page connector.Page) error {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -486,3 +486,10 @@
 	}
 	return raw
 }
+
+// Answer returns what an engine answers to a prompt, given as the roles and
+// contents of its messages joined.
+func Answer(prompt string, limit int64) string {
+	list, _ := words(prompt, 0, limit)
+	return strings.Join(list, "")
+}
