--- /dev/null
+++ b/arbiter/arbiter_test.go
@@ -0,0 +1,105 @@
+package arbiter_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/citronpier/citronpier/arbiter"
+	"github.com/citronpier/citronpier/recorder"
+)
+
+// Over any order of intents, releases, outcomes and late reads, a call is sent
+// at most once, and never after its key was answered as not run for good.
+func TestSentAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []*recorder.Record
+		type sender struct {
+			name string
+			at   int
+			done bool
+		}
+		var senders []*sender
+		sent := 0
+		pick := func(t *rapid.T) *sender {
+			if len(senders) == 0 {
+				t.Skip("no sender")
+			}
+			return rapid.SampledFrom(senders).Draw(t, "sender")
+		}
+		ledger := func(n int) *arbiter.Ledger {
+			var l arbiter.Ledger
+			for offset, r := range log[:n] {
+				l.Apply(int64(offset), r)
+			}
+			return &l
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"intend": func(t *rapid.T) {
+				if len(senders) > 10 {
+					t.Skip("enough")
+				}
+				s := &sender{name: string(rune('a' + len(senders))), at: len(log)}
+				senders = append(senders, s)
+				log = append(log, &recorder.Record{Body: &recorder.Record_Intent{
+					Intent: &recorder.Intent{Key: "k", Sender: s.name, Digest: []byte("d")},
+				}})
+			},
+			"act": func(t *rapid.T) {
+				s := pick(t)
+				if s.done {
+					return
+				}
+				s.done = true
+				seen := rapid.IntRange(s.at+1, len(log)).Draw(t, "seen")
+				if _, mine := ledger(seen).Judge("k", s.name, []byte("d")).(arbiter.Mine); !mine {
+					return
+				}
+				if rapid.Bool().Draw(t, "unsent") {
+					log = append(log, &recorder.Record{Body: &recorder.Record_Release{
+						Release: &recorder.Release{Key: "k", Sender: s.name},
+					}})
+					return
+				}
+				sent++
+				if rapid.Bool().Draw(t, "recorded") {
+					log = append(log, &recorder.Record{Body: &recorder.Record_Outcome{
+						Outcome: &recorder.Outcome{Key: "k", Sender: s.name, Status: 200},
+					}})
+				}
+			},
+			"": func(t *rapid.T) {
+				if sent > 1 {
+					t.Fatalf("sent %d times", sent)
+				}
+			},
+		})
+	})
+}
+
+func TestJudge(t *testing.T) {
+	var l arbiter.Ledger
+	l.Apply(4, &recorder.Record{Body: &recorder.Record_Intent{
+		Intent: &recorder.Intent{Key: "k", Sender: "a", Digest: []byte("d"), Host: "h"},
+	}})
+	l.Apply(5, &recorder.Record{Body: &recorder.Record_Intent{
+		Intent: &recorder.Intent{Key: "k", Sender: "b", Digest: []byte("d"), Host: "i"},
+	}})
+	for _, c := range []struct {
+		name, key, sender, digest string
+		want                      arbiter.Verdict
+	}{
+		{"winner", "k", "a", "d", arbiter.Mine{Fence: 4}},
+		{"loser", "k", "b", "d", arbiter.Theirs{Host: "h"}},
+		{"other request", "k", "a", "e", arbiter.Conflict{}},
+		{"other key", "j", "a", "d", arbiter.Free{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := l.Judge(c.key, c.sender, []byte(c.digest))
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("verdict (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/coordinator/once.go
+++ b/coordinator/once.go
@@ -231,7 +231,8 @@
 func (r *run) reply(reply *messenger.Reply) error {
 	if r.previous != nil && r.program != nil {
 		token, err := r.coordinator.config.Signer.Seal(
-			r.program.token(r.number(), r.previous.GetDigest(), r.previous.GetMessages()))
+			r.program.token(r.number(), r.previous.GetDigest(), r.previous.GetMessages()),
+		)
 		if err != nil {
 			return refuser.New(refuser.Internal, "%w", err).WithRun(descriptor.RunYes)
 		}
--- a/host.go
+++ b/host.go
@@ -145,13 +145,15 @@
 }
 
 func (h *Host) replicas(crashes *isolator.Isolator) {
-	h.state = replayer.New(h.settings.log, stateStream, h.settings.clock, h.settings.logger,
+	h.state = replayer.New(
+		h.settings.log, stateStream, h.settings.clock, h.settings.logger,
 		replayer.Prioritized{Hook: &h.budgets, Priority: priorityBudgets},
 		replayer.Prioritized{Hook: &h.keys, Priority: priorityKeys},
 		replayer.Prioritized{Hook: crashes, Priority: priorityPoison},
 		replayer.Prioritized{Hook: &h.summaries, Priority: priorityPage},
 	)
-	h.rules = replayer.New(h.settings.log, publisher.Stream, h.settings.clock, h.settings.logger,
+	h.rules = replayer.New(
+		h.settings.log, publisher.Stream, h.settings.clock, h.settings.logger,
 		replayer.Prioritized{Hook: &h.publisher, Priority: priorityRules},
 	)
 }
@@ -168,7 +170,8 @@
 	}
 	h.callers = &http.Server{Handler: callers, ReadHeaderTimeout: headerBudget}
 	h.peers = messenger.NewServer(messenger.NewHandler(
-		h.settings.peerKey, (*peerCommands)(h), (*peerQueries)(h), (*peerStreams)(h)))
+		h.settings.peerKey, (*peerCommands)(h), (*peerQueries)(h), (*peerStreams)(h),
+	))
 	return nil
 }
 
