Prove the promises by a fault matrix on real hosts under injected time

Cause: the promises were argued, not shown. A matrix of 12 faults by 16 steps runs three real hosts over a network in memory in a synctest bubble and asserts from the ledgers of the stand-ins.

Change, each for a cell that was red: - poison: an engine that died before it answered counted as not sent, so the request was never suspected and crashed engines 16 times, while its neighbours were refused. Now anything but a failed dial counts as sent. - upstream crash/queue: eight programs sent the same first message and two engines died together; all were refused as poison. A second death now counts only where the request was the one suspect on an engine with one home. - clock stepped: a home compared wall-clock times across hosts and ended programs as too old. Tokens now carry an age; decisions use monotonic time. - silent: streams to callers that had gone away went on for ever. - paused/leave: a host that stood still sent to an engine that had left. A list older than 1 s is read again before work is sent. - paused/drain, silent/settle: a home that was overtaken by a claim went on. It ends a program's calls when it reads the claim, reads the log before it sends a call again, and polls the log every 0.5 s (2 s before).

Ruled out: HTTP client retries as the source of double attempts (the trace shows one dispatch queued at the overtaken home).

Given up, and stated in the check: an overtaken home may still send a model call for 2 s, and a woken one what it had on its way out; no one reads the answer and the budget holds it.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -17,7 +17,10 @@
 
 const (
 	// tries is the most times that one request is sent.
-	tries = 8
+	tries = 16
+	// tryBudget is how long one host may take. The next request with the same
+	// key attaches to the call where it still runs.
+	tryBudget = 10 * time.Second
 	// firstPause and longestPause bound the time between two of them.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 2 * time.Second
@@ -121,6 +124,8 @@
 }
 
 func (c *Client) exchange(ctx context.Context, host string, r request) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryBudget)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+host+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return reply{}, fmt.Errorf("make request: %w", err)
--- a/caller/program.go
+++ b/caller/program.go
@@ -1,12 +1,18 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	crand "crypto/rand"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
+	"strings"
+
+	"github.com/openai/openai-go/v3/packages/ssestream"
+	"github.com/tidwall/gjson"
 
 	"github.com/citronpier/citronpier/descriptor"
 )
@@ -65,20 +71,72 @@
 	if err != nil {
 		return "", err
 	}
-	var answer struct {
-		Choices []struct {
-			Message Message `json:"message"`
-		} `json:"choices"`
+	text, token := whole(r.body)
+	p.messages = append(messages, Message{Role: "assistant", Content: text})
+	p.token = token
+	return text, nil
+}
+
+// whole returns the text and the token of an answer.
+func whole(body []byte) (text, token string) {
+	answer := gjson.ParseBytes(body)
+	return answer.Get("choices.0.message.content").String(), answer.Get("citronpier.token").String()
+}
+
+// Stream adds a message and returns the model's answer, read as a stream. A
+// stream that ends without its marker is asked for again as a whole.
+func (p *Program) Stream(ctx context.Context, model, text string, limit int64) (string, error) {
+	messages := append(slices.Clone(p.messages), Message{Role: "user", Content: text})
+	body, err := json.Marshal(map[string]any{
+		"model": model, "messages": messages, "max_tokens": limit, "stream": true,
+	})
+	if err != nil {
+		return "", fmt.Errorf("encode call: %w", err)
 	}
-	if err := json.Unmarshal(r.body, &answer); err != nil || len(answer.Choices) == 0 {
-		return "", &LostError{Cause: fmt.Errorf("decode answer: %w", err)}
+	key := crand.Text()
+	var last error
+	for range tries {
+		r, err := p.client.send(ctx, p.request("/v1/chat/completions", key, body))
+		if err != nil {
+			return "", err
+		}
+		var token string
+		text, token, last = joined(r)
+		if last == nil {
+			p.messages = append(messages, Message{Role: "assistant", Content: text})
+			p.token = token
+			return text, nil
+		}
 	}
-	reply := answer.Choices[0].Message
-	p.messages = append(messages, reply)
-	p.token = r.header.Get("Citronpier-Token")
-	return reply.Content, nil
+	return "", &LostError{Cause: last}
 }
 
+// joined returns the text and the token of a whole stream.
+func joined(r reply) (text, token string, err error) {
+	decoder := ssestream.NewDecoder(&http.Response{
+		Header: r.header, Body: io.NopCloser(bytes.NewReader(r.body)),
+	})
+	var b strings.Builder
+	for decoder.Next() {
+		data := bytes.TrimSpace(decoder.Event().Data)
+		if string(data) == "[DONE]" {
+			return b.String(), token, nil
+		}
+		part := gjson.ParseBytes(data)
+		b.WriteString(part.Get("choices.0.delta.content").String())
+		if t := part.Get("citronpier.token"); t.Exists() {
+			token = t.String()
+		}
+	}
+	return "", "", &UnfinishedError{}
+}
+
+// UnfinishedError says that a stream ended without its end marker.
+type UnfinishedError struct{}
+
+// Error describes the failure.
+func (*UnfinishedError) Error() string { return "the stream ended without its end marker" }
+
 // Serve calls a plain service. Calls with one key run at most once.
 func (p *Program) Serve(ctx context.Context, service, path, key string, body []byte) ([]byte, error) {
 	r, err := p.client.send(ctx, p.request("/v1/services/"+service+"/"+path, key, body))
--- a/coordinator/claim.go
+++ b/coordinator/claim.go
@@ -7,6 +7,7 @@
 
 	"github.com/citronpier/citronpier/budgeter"
 	"github.com/citronpier/citronpier/counter"
+	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/recorder"
 	"github.com/citronpier/citronpier/refuser"
@@ -31,14 +32,15 @@
 	if err != nil {
 		return nil, err
 	}
+	now := c.config.Clock()
 	p := &program{
 		id:           t.GetProgram(),
 		organisation: t.GetOrganisation(),
 		kind:         kind,
 		holder:       rand.Text(),
 		budget:       t.GetBudget(),
-		began:        time.UnixMilli(t.GetBegan()),
-		last:         c.config.Clock(),
+		began:        now.Add(-time.Duration(t.GetElapsed()) * time.Millisecond),
+		last:         now,
 		calls:        t.GetNumber(),
 		served:       t.GetSpent(),
 		upstream:     t.GetUpstream(),
@@ -103,6 +105,49 @@
 	return nil
 }
 
+// confirmBudget bounds the read of the log before a call is sent again.
+const confirmBudget = time.Second
+
+// confirm checks, before a call is sent again, that no other holder has
+// claimed the program: the call may have been overtaken while this host waited.
+// While the log is down no one can claim, and the call goes on.
+func (c *Coordinator) confirm(ctx context.Context, p *program) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmBudget)
+	defer cancel()
+	if err := c.config.Replica.Sync(ctx); err != nil {
+		c.config.Logger.Debug().Err(err).Msg("holder was not confirmed")
+	}
+	if entry, _ := c.entry(p.id); !entry.HeldBy(p.holder) {
+		return c.superseded(p)
+	}
+	return nil
+}
+
+// superseded ends a program here that another host took over.
+func (c *Coordinator) superseded(p *program) error {
+	c.drop(p.id)
+	return refuser.New(refuser.Superseded, "another host took program %s over", p.id).
+		WithRun(descriptor.RunUnknown).WithRetry(time.Second)
+}
+
+// Apply ends a program here when the log says that another holder claimed it.
+// It makes a Coordinator a hook of the log's replica.
+func (c *Coordinator) Apply(_ int64, record *recorder.Record) {
+	claim := record.GetClaim()
+	if claim == nil {
+		return
+	}
+	p, ok := c.program(claim.GetProgram())
+	if !ok || p.holder == claim.GetHolder() {
+		return
+	}
+	p.supersede()
+	c.drop(p.id)
+}
+
+// Prune does nothing: programs end by their own rules.
+func (c *Coordinator) Prune(int64) {}
+
 // covered checks that the replica has read every record since an offset, so
 // that no record of the program can have been missed.
 func (c *Coordinator) covered(opened int64, program string) error {
@@ -176,8 +221,7 @@
 	case entry.Finished:
 		return refuser.New(refuser.Unclaimed, "program %s has ended", p.id)
 	case entry.Holder != p.holder:
-		c.drop(p.id)
-		return refuser.New(refuser.Superseded, "another host took program %s over", p.id).WithRetry(time.Second)
+		return c.superseded(p)
 	}
 	c.config.Counters.Reached(counter.StageGranted)
 	p.raise(entry.Ceiling, offset)
@@ -202,7 +246,7 @@
 			budget:       s.GetBudget(),
 			account:      budgeter.Account{Budget: s.GetBudget(), Ceiling: s.GetCeiling(), Spent: s.GetSpent()},
 			opened:       s.GetOpened(),
-			began:        time.UnixMilli(s.GetBegan()),
+			began:        now.Add(-time.Duration(s.GetElapsed()) * time.Millisecond),
 			last:         now,
 			calls:        s.GetCalls(),
 			upstream:     s.GetUpstream(),
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -31,8 +31,10 @@
 	// Incarnation names this run of the host. It is never used again.
 	Incarnation string
 	Clock       func() time.Time
-	Rules       func() parser.Rules
-	View        func() locator.View
+	// Wall gives the date and time of day for reports.
+	Wall  func() time.Time
+	Rules func() parser.Rules
+	View  func() locator.View
 	// Suspect reports a host that failed a call.
 	Suspect func(host descriptor.Host)
 	// Dispatch runs an attempt at an upstream's home.
@@ -171,7 +173,7 @@
 	if err := c.put(p); err != nil {
 		return nil, err
 	}
-	token, err := c.config.Signer.Seal(p.token(0, nil, 0))
+	token, err := c.config.Signer.Seal(p.token(0, nil, 0, now))
 	if err != nil {
 		return nil, refuser.New(refuser.Internal, "%w", err)
 	}
--- a/coordinator/end.go
+++ b/coordinator/end.go
@@ -169,10 +169,10 @@
 
 // Hand returns the state of every program without a call under way and stops
 // acting for it.
-func (c *Coordinator) Hand() []*messenger.ProgramState {
+func (c *Coordinator) Hand(now time.Time) []*messenger.ProgramState {
 	var states []*messenger.ProgramState
 	for _, p := range c.list() {
-		if s, ok := p.hand(); ok {
+		if s, ok := p.hand(now); ok {
 			states = append(states, s)
 			c.drop(p.id)
 		}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -47,13 +47,6 @@
 	j.changed = make(chan struct{})
 }
 
-// reset drops the parts so far. It serves answers that no caller has seen.
-func (j *job) reset() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.frames = nil
-}
-
 // since returns the frames from an index on, whether the job has ended, and a
 // channel that is closed when there are more.
 func (j *job) since(index int) ([]*messenger.Frame, bool, <-chan struct{}) {
--- a/coordinator/model.go
+++ b/coordinator/model.go
@@ -39,6 +39,11 @@
 		if err := g.screen(); err != nil {
 			return err
 		}
+		if try > 0 {
+			if err := c.confirm(ctx, g.program); err != nil {
+				return err
+			}
+		}
 		done, err := g.attempt(ctx, try)
 		if done {
 			return err
@@ -174,6 +179,9 @@
 		}
 		c.config.Suspect(home)
 		c.config.Counters.Retried(counter.RetryHome)
+		if err := c.confirm(ctx, g.program); err != nil {
+			return nil, nil, err
+		}
 		req.Resume = req.GetResume() || sent
 		req.From = g.assembler.Parts() - g.base
 	}
@@ -249,9 +257,9 @@
 		c.loads.observe([]*messenger.Load{l})
 	}
 	if fault.GetCrashed() {
-		c.config.Isolator.Died(g.print, u.ID)
+		c.config.Isolator.Died(g.print, u.ID, fault.GetAlone())
 		c.submit(&recorder.Record{Optional: true, Body: &recorder.Record_Poison{
-			Poison: &recorder.Poison{Fingerprint: string(g.print), Upstream: u.ID},
+			Poison: &recorder.Poison{Fingerprint: string(g.print), Upstream: u.ID, Alone: fault.GetAlone()},
 		}})
 	}
 	if !refusal.Reason.Transient() {
@@ -306,7 +314,7 @@
 	var digest sequencer.Digest
 	copy(digest[:], g.req.GetPresented())
 	digest = digest.Extend(message)
-	token, err := c.config.Signer.Seal(g.program.token(g.number(), digest[:], g.req.GetMessages()+1))
+	token, err := c.config.Signer.Seal(g.program.token(g.number(), digest[:], g.req.GetMessages()+1, c.config.Clock()))
 	if err != nil {
 		return refuser.New(refuser.Internal, "%w", err).WithRun(descriptor.RunYes)
 	}
--- a/coordinator/once.go
+++ b/coordinator/once.go
@@ -223,7 +223,7 @@
 		return refusal
 	}
 	c := r.coordinator
-	c.config.Reporter.Lost(r.req.GetKey(), r.req.GetService(), c.config.Clock())
+	c.config.Reporter.Lost(r.req.GetKey(), r.req.GetService(), c.config.Wall())
 	return refuser.New(refuser.Lost, "the call may have run: %w", err).WithRun(descriptor.RunUnknown)
 }
 
@@ -231,7 +231,7 @@
 func (r *run) reply(reply *messenger.Reply) error {
 	if r.previous != nil && r.program != nil {
 		token, err := r.coordinator.config.Signer.Seal(
-			r.program.token(r.number(), r.previous.GetDigest(), r.previous.GetMessages()),
+			r.program.token(r.number(), r.previous.GetDigest(), r.previous.GetMessages(), r.coordinator.config.Clock()),
 		)
 		if err != nil {
 			return refuser.New(refuser.Internal, "%w", err).WithRun(descriptor.RunYes)
--- a/coordinator/program.go
+++ b/coordinator/program.go
@@ -35,12 +35,16 @@
 	running  int
 	// evicted says that the engine was told to release the program's memory.
 	evicted bool
+	// cancels ends the calls under way, by call id.
+	cancels map[string]func()
 	// handed says that another host has taken the program over from here.
 	handed bool
+	// overtaken says that another holder claimed the program.
+	overtaken bool
 }
 
-// begin counts a call, where the program's limits allow it.
-func (p *program) begin(now time.Time) error {
+// begin counts a call, where the program's limits allow it. Cancel ends it.
+func (p *program) begin(call string, cancel func(), now time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -55,17 +59,39 @@
 	p.running++
 	p.last = now
 	p.evicted = false
+	if p.cancels == nil {
+		p.cancels = make(map[string]func())
+	}
+	p.cancels[call] = cancel
 	return nil
 }
 
 // end counts a call as ended.
-func (p *program) end(now time.Time) {
+func (p *program) end(call string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.cancels, call)
 	p.running--
 	p.last = now
 }
 
+// supersede ends the program here: another holder has claimed it.
+func (p *program) supersede() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handed = true
+	p.overtaken = true
+	for _, cancel := range p.cancels {
+		cancel()
+	}
+}
+
+func (p *program) isOvertaken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.overtaken
+}
+
 func (p *program) settle(reserved, spent int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -107,7 +133,7 @@
 }
 
 // token returns the unsigned token of a call that has ended.
-func (p *program) token(number int64, digest []byte, messages int64) *recorder.Token {
+func (p *program) token(number int64, digest []byte, messages int64, now time.Time) *recorder.Token {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return &recorder.Token{
@@ -123,12 +149,12 @@
 		Budget:       p.budget,
 		Opened:       p.opened,
 		Upstream:     p.upstream,
-		Began:        p.began.UnixMilli(),
+		Elapsed:      now.Sub(p.began).Milliseconds(),
 	}
 }
 
 // hand marks the program as moved and returns its state, unless a call runs.
-func (p *program) hand() (*messenger.ProgramState, bool) {
+func (p *program) hand(now time.Time) (*messenger.ProgramState, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running > 0 || p.handed {
@@ -144,7 +170,7 @@
 		Ceiling:      p.account.Ceiling,
 		Spent:        p.account.Spent,
 		Opened:       p.opened,
-		Began:        p.began.UnixMilli(),
+		Elapsed:      now.Sub(p.began).Milliseconds(),
 		Calls:        p.calls,
 		Upstream:     p.upstream,
 		Served:       p.served,
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -36,16 +36,29 @@
 		return err
 	}
 	if r.program != nil {
-		if err := r.program.begin(r.coordinator.config.Clock()); err != nil {
+		if err := r.program.begin(r.job.call, r.interrupt(), r.coordinator.config.Clock()); err != nil {
 			return err
 		}
-		defer func() { r.program.end(r.coordinator.config.Clock()) }()
+		defer func() { r.program.end(r.job.call, r.coordinator.config.Clock()) }()
 	}
 	r.coordinator.config.Counters.Reached(counter.StageAdmitted)
 	if r.req.GetService() != "" {
 		return r.serve(ctx)
 	}
-	return r.generate(ctx)
+	err = r.generate(ctx)
+	if err != nil && r.program.isOvertaken() {
+		return r.coordinator.superseded(r.program)
+	}
+	return err
+}
+
+// interrupt returns what ends the call where another host takes the program
+// over. A plain service's call is not cut: it may have run.
+func (r *run) interrupt() func() {
+	if r.req.GetService() != "" {
+		return func() {}
+	}
+	return r.job.cancel
 }
 
 // predecessor opens the presented tokens and returns the one to follow; nil
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -79,9 +79,9 @@
 	a.position = a.req.GetFrom()
 	a.sent = a.req.GetResume()
 	parts, err := a.open(ctx)
+	a.sent = a.sent || !unsent(err)
 	for tries := 0; ; tries++ {
 		if err == nil {
-			a.sent = true
 			err = a.relay(parts)
 			_ = parts.Close()
 		}
@@ -176,8 +176,7 @@
 func (a *attempt) fail(err error, died bool) error {
 	a.lane.failed(a.dispatcher.config.Clock())
 	a.dispatcher.config.Logger.Debug().Err(err).Str("upstream", a.req.GetUpstream()).Msg("attempt failed")
-	var unsent *connector.UnsentError
-	sent := a.sent || !errors.As(err, &unsent)
+	sent := a.sent || !unsent(err)
 	run := descriptor.RunNo
 	if sent {
 		run = descriptor.RunUnknown
@@ -185,6 +184,7 @@
 	fault := messenger.NewFault(refuser.New(refuser.Upstream, "%w", err).WithRun(run))
 	fault.Sent = sent
 	fault.Crashed = died && sent
+	fault.Alone = a.req.GetAlone() && a.dispatcher.config.Settled()
 	fault.Load = a.lane.load()
 	return a.emit(&messenger.Frame{Body: &messenger.Frame_Fault{Fault: fault}})
 }
@@ -205,20 +205,24 @@
 
 var errAsker = &askerError{}
 
+// unsent reports whether the upstream was provably not given the call.
+func unsent(err error) bool {
+	var u *connector.UnsentError
+	return errors.As(err, &u)
+}
+
 // final reports whether a new connection can't help.
 func final(err error) bool {
 	var gone *connector.GoneError
 	var status *connector.StatusError
-	var unsent *connector.UnsentError
-	return errors.As(err, &gone) || errors.As(err, &status) || errors.As(err, &unsent)
+	return errors.As(err, &gone) || errors.As(err, &status) || unsent(err)
 }
 
 // crashed reports whether the upstream lost the call that it ran: it came back
 // without it, or takes no connections any more.
 func crashed(err error) bool {
 	var gone *connector.GoneError
-	var unsent *connector.UnsentError
-	return errors.As(err, &gone) || errors.As(err, &unsent)
+	return errors.As(err, &gone) || unsent(err)
 }
 
 func retryReason(err error) counter.Retry {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -18,9 +18,14 @@
 
 // Config is what a Dispatcher works with.
 type Config struct {
-	Engine   connector.Engine
-	Service  connector.Service
-	Members  func() descriptor.Members
+	Engine  connector.Engine
+	Service connector.Service
+	Members func() descriptor.Members
+	// Refresh reads the list again where the last answer is old.
+	Refresh func(ctx context.Context)
+	// Settled reports that no host has come or gone of late: a second home of
+	// an upstream can't exist.
+	Settled  func() bool
 	Rules    func() parser.Rules
 	Clock    func() time.Time
 	Counters *counter.Set
@@ -63,6 +68,7 @@
 	if err := wait(ctx, turn); err != nil {
 		return err
 	}
+	d.config.Refresh(ctx)
 	if l.current().Leaving {
 		return refuser.New(refuser.Upstream, "upstream %s is leaving", req.GetUpstream())
 	}
--- a/follow.go
+++ b/follow.go
@@ -80,7 +80,7 @@
 }
 
 func (h *Host) commitSummary(ctx context.Context) error {
-	s, err := h.reporter.Take(h.settings.self.ID, h.settings.clock())
+	s, err := h.reporter.Take(h.settings.self.ID, h.settings.wall())
 	if err != nil || s == nil {
 		return err
 	}
--- a/forward.go
+++ b/forward.go
@@ -134,12 +134,13 @@
 // moved reports whether the frame says that another host is the call's home.
 func (f *forwarded) moved(frame *messenger.Frame) bool {
 	fault := frame.GetFault()
-	if fault == nil || f.seen || f.tries >= forwards || fault.GetRun() != string(descriptor.RunNo) {
+	if fault == nil || f.seen || f.tries >= forwards {
 		return false
 	}
+	repeatable := fault.GetRun() == string(descriptor.RunNo) || f.req.GetService() == ""
 	switch refuser.Reason(fault.GetReason()) {
 	case refuser.Leaving, refuser.Superseded, refuser.Home:
-		return true
+		return repeatable
 	default:
 		return false
 	}
--- a/host.go
+++ b/host.go
@@ -42,6 +42,7 @@
 	priorityKeys    = 200
 	priorityPoison  = 300
 	priorityPage    = 400
+	priorityHome    = 500
 	priorityRules   = 100
 )
 
@@ -76,6 +77,7 @@
 	h := &Host{incarnation: rand.Text(), abandoned: make(chan struct{})}
 	h.settings = settings{
 		clock:  time.Now,
+		wall:   time.Now,
 		logger: zerolog.Nop(),
 		drain:  defaultDrain,
 		linger: defaultLinger,
@@ -117,6 +119,8 @@
 		Engine:   h.settings.engine,
 		Service:  h.settings.service,
 		Members:  func() descriptor.Members { return h.members.view().Members() },
+		Refresh:  h.refreshMembers,
+		Settled:  h.settled,
 		Rules:    h.publisher.Rules,
 		Clock:    h.settings.clock,
 		Counters: &h.counters,
@@ -126,6 +130,7 @@
 		Self:        h.settings.self,
 		Incarnation: h.incarnation,
 		Clock:       h.settings.clock,
+		Wall:        h.settings.wall,
 		Rules:       h.publisher.Rules,
 		View:        h.members.view,
 		Suspect:     h.suspect,
@@ -141,6 +146,7 @@
 		Reporter:    &h.reporter,
 		Logger:      h.settings.logger,
 	})
+	h.state.AddHook(replayer.Prioritized{Hook: h.coordinator, Priority: priorityHome})
 	return h.servers(signer)
 }
 
@@ -235,3 +241,13 @@
 
 // Page returns the owner's page of today.
 func (h *Host) Page() reporter.Page { return (*queries)(h).Page() }
+
+// Live reports whether the host neither stops nor was abandoned.
+func (h *Host) Live() bool {
+	select {
+	case <-h.abandoned:
+		return false
+	default:
+		return !h.leaving.Load()
+	}
+}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -74,10 +74,12 @@
 }
 
 // Died records that an upstream died with the request in flight. The death of
-// one upstream counts once.
-func (i *Isolator) Died(f Fingerprint, upstream string) {
+// one upstream counts once. After the first death only those count that the
+// request met as the one suspect there: programs often send the same request,
+// and several upstreams may die together for another reason.
+func (i *Isolator) Died(f Fingerprint, upstream string, alone bool) {
 	deaths, _ := i.deaths.Get(f)
-	if slices.Contains(deaths, upstream) {
+	if slices.Contains(deaths, upstream) || (len(deaths) > 0 && !alone) {
 		return
 	}
 	i.deaths.Add(f, append(slices.Clone(deaths), upstream))
@@ -91,7 +93,7 @@
 // wherever it arrives.
 func (i *Isolator) Apply(_ int64, record *recorder.Record) {
 	if p := record.GetPoison(); p != nil {
-		i.Died(Fingerprint(p.GetFingerprint()), p.GetUpstream())
+		i.Died(Fingerprint(p.GetFingerprint()), p.GetUpstream(), p.GetAlone())
 	}
 }
 
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -95,7 +96,9 @@
 	descriptor.Host
 	Link *standin.Link
 	// Node is the host itself.
-	Node   *citronpier.Host
+	Node *citronpier.Host
+	// skew is how far the host's clock is off, in nanoseconds.
+	skew   atomic.Int64
 	cancel context.CancelFunc
 	ended  chan struct{}
 	err    error
@@ -234,6 +237,7 @@
 		citronpier.WithLog(dialer.NewLog(f.logAt, link.Dial)),
 		citronpier.WithList(dialer.NewList(f.listAt, link.Dial)),
 		citronpier.WithDial(link.Dial),
+		citronpier.WithWall(h.wall),
 		citronpier.WithListeners(callers, peers),
 		citronpier.WithLogger(f.config.Logger),
 		citronpier.WithLinger(f.config.Linger),
@@ -254,6 +258,12 @@
 	return h, nil
 }
 
+// wall is the host's clock.
+func (h *Host) wall() time.Time { return time.Now().Add(time.Duration(h.skew.Load())) }
+
+// StepClock sets how far the host's clock is off.
+func (h *Host) StepClock(skew time.Duration) { h.skew.Store(int64(skew)) }
+
 // Stop stops the host gracefully and waits for its end.
 func (h *Host) Stop() error {
 	h.cancel()
@@ -313,7 +323,7 @@
 	}
 	f.running.Wait()
 	for _, s := range f.servers {
-		s.Stop()
+		s.Close()
 	}
 	for _, e := range f.Engines {
 		e.Reset()
--- a/members.go
+++ b/members.go
@@ -15,8 +15,13 @@
 	listEvery = 250 * time.Millisecond
 	// listBudget bounds one read.
 	listBudget = time.Second
+	// listFresh is the age up to which the list is used without a new read.
+	listFresh = time.Second
 	// loadEvery is the time between two reads of the other hosts' loads.
 	loadEvery = 200 * time.Millisecond
+	// settledAfter is the time without a change of the live hosts after which
+	// each upstream has one home.
+	settledAfter = 3 * time.Second
 	// suspicion is how long a host that failed a call is avoided.
 	suspicion = 2 * time.Second
 )
@@ -25,6 +30,10 @@
 type memberTable struct {
 	mu      sync.Mutex
 	current locator.View
+	// read is when the list was last asked for and answered.
+	read time.Time
+	// changed is when the live hosts last changed.
+	changed time.Time
 	// left names the host itself once it is stopping.
 	left string
 }
@@ -36,9 +45,11 @@
 }
 
 // update applies a newer list, in which the host itself always stands.
-func (t *memberTable) update(m descriptor.Members, self descriptor.Host) {
+func (t *memberTable) update(m descriptor.Members, self descriptor.Host, asked time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.read = asked
+	before := t.current.Live(asked)
 	m.Hosts = slices.Clone(m.Hosts)
 	at := slices.IndexFunc(m.Hosts, func(h descriptor.Host) bool { return h.ID == self.ID })
 	own := self.WithLeaving(t.left == self.ID)
@@ -48,6 +59,22 @@
 		m.Hosts[at] = own
 	}
 	t.current = t.current.WithMembers(m)
+	if !slices.Equal(before, t.current.Live(asked)) {
+		t.changed = asked
+	}
+}
+
+// settled reports whether the live hosts have been the same for a while.
+func (t *memberTable) settled(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.changed) > settledAfter
+}
+
+func (t *memberTable) lastRead() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.read
 }
 
 func (t *memberTable) leave(self string) {
@@ -68,6 +95,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.current = t.current.WithSuspect(host, until)
+	t.changed = until.Add(-suspicion)
 }
 
 // suspect avoids a host that failed a call. The host itself is never suspect.
@@ -78,6 +106,9 @@
 	h.members.suspect(failed.ID, h.settings.clock().Add(suspicion))
 }
 
+// settled reports whether no host has come or gone of late.
+func (h *Host) settled() bool { return h.members.settled(h.settings.clock()) }
+
 // followMembers keeps the view of the members up to date.
 func (h *Host) followMembers(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -89,6 +120,7 @@
 }
 
 func (h *Host) readMembers(ctx context.Context) {
+	asked := h.settings.clock()
 	ctx, cancel := context.WithTimeout(ctx, listBudget)
 	defer cancel()
 	m, err := h.settings.list.Members(ctx)
@@ -96,10 +128,19 @@
 		h.settings.logger.Debug().Err(err).Msg("list did not answer")
 		return
 	}
-	h.members.update(m, h.settings.self)
+	h.members.update(m, h.settings.self, asked)
 	h.dispatcher.Update(m)
 }
 
+// refreshMembers reads the list before work is sent by an old one. A host that
+// stood still for a while would otherwise send to upstreams that have left.
+// While the list is down the old one has to do.
+func (h *Host) refreshMembers(ctx context.Context) {
+	if h.settings.clock().Sub(h.members.lastRead()) > listFresh {
+		h.readMembers(ctx)
+	}
+}
+
 // announce tells the platform that the host is live or leaving.
 func (h *Host) announce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listBudget)
--- a/option.go
+++ b/option.go
@@ -28,6 +28,7 @@
 	caller    net.Listener
 	peer      net.Listener
 	clock     func() time.Time
+	wall      func() time.Time
 	logger    zerolog.Logger
 	drain     time.Duration
 	linger    time.Duration
@@ -75,9 +76,15 @@
 	return func(s *settings) { s.caller, s.peer = caller, peer }
 }
 
-// WithClock sets the source of the present time.
+// WithClock sets the source of the present time that decisions are made with.
+// Its times must carry a monotonic reading, so that a step of the host's clock
+// changes no decision.
 func WithClock(clock func() time.Time) Option { return func(s *settings) { s.clock = clock } }
 
+// WithWall sets the source of the date and time of day. They say in which day
+// a call is counted and decide nothing else.
+func WithWall(wall func() time.Time) Option { return func(s *settings) { s.wall = wall } }
+
 // WithLogger sets where the host logs.
 func WithLogger(l zerolog.Logger) Option { return func(s *settings) { s.logger = l } }
 
--- a/queries.go
+++ b/queries.go
@@ -47,14 +47,15 @@
 
 // Page returns the owner's page of today.
 func (q *queries) Page() (page reporter.Page) {
-	now := q.settings.clock()
+	now := q.settings.wall()
 	pending := q.reporter.Peek(q.settings.self.ID, now)
+	clock := q.settings.clock()
 	q.state.View(func(s replayer.Status) {
 		page = reporter.Make(reporter.Input{
 			Ledger:  &q.summaries,
 			Rules:   q.publisher.Rules(),
 			Pending: pending,
-			LogAge:  now.Sub(s.Read),
+			LogAge:  clock.Sub(s.Read),
 		}, now)
 	})
 	return page
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -17,8 +17,11 @@
 const Version = 1
 
 const (
-	readWait   = 2 * time.Second
-	readBudget = 3 * time.Second
+	// readWait is how long the log may hold a read back for new records.
+	readWait = 500 * time.Millisecond
+	// readBudget bounds a read. A connection that went silent delays the
+	// replica by no more.
+	readBudget = time.Second
 	retryPause = 50 * time.Millisecond
 )
 
@@ -82,6 +85,9 @@
 	}
 }
 
+// AddHook adds a hook. It must be called before Run.
+func (r *Replayer) AddHook(h Prioritized) { r.hooks = sorted(append(r.hooks, h)) }
+
 // Run reads the stream until ctx ends or a record can't be understood.
 func (r *Replayer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -98,6 +104,22 @@
 	return nil
 }
 
+// Sync reads what the log holds now. After an error the replica may be behind.
+func (r *Replayer) Sync(ctx context.Context) error {
+	for {
+		page, err := r.log.Read(ctx, r.stream, r.Status().Next, 0)
+		if err != nil {
+			return fmt.Errorf("read log: %w", err)
+		}
+		if err := r.apply(page); err != nil {
+			return err
+		}
+		if r.Status().Next >= page.Next {
+			return nil
+		}
+	}
+}
+
 // Status returns how far the replica has read.
 func (r *Replayer) Status() Status {
 	r.mu.Lock()
--- a/server/stream.go
+++ b/server/stream.go
@@ -58,7 +58,8 @@
 	}
 	alive := time.NewTicker(aliveEvery)
 	defer alive.Stop()
-	next := pump(ctx.Request().Context(), frames)
+	gone := ctx.Request().Context()
+	next := pump(gone, frames)
 	for {
 		select {
 		case r := <-next:
@@ -67,6 +68,8 @@
 			}
 		case <-alive.C:
 			out.comment()
+		case <-gone.Done():
+			return
 		}
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -48,6 +48,10 @@
 	Call     string
 	Session  string
 	Priority int
+	// Messages is the number of messages of the prompt.
+	Messages int
+	// Continued says that the call went on with an answer begun elsewhere.
+	Continued bool
 	// Prompt, Cached and Generated are in tokens.
 	Prompt    int64
 	Cached    int64
@@ -165,6 +169,7 @@
 		e.crash()
 		abort()
 	}
+	e.reach(StepReceived)
 	g := e.begin(r.Header, gjson.ParseBytes(raw))
 	e.send(w, r, g, 0)
 }
@@ -187,6 +192,7 @@
 		run: &EngineRun{
 			Call: h.Get("X-Request-Id"), Session: h.Get("X-Request-Session-Id"),
 			Priority: priority, Limit: limit, Began: time.Now(),
+			Messages: len(messages.Array()), Continued: already > 0,
 		},
 		prompt: prefixes(messages),
 		model:  body.Get("model").String(),
@@ -279,14 +285,29 @@
 		g.run.Generated++
 		e.mu.Unlock()
 		g.add(chunk(g, word, finish))
+		e.generated(i)
 	}
 	if len(g.words) == 0 {
 		g.add(chunk(g, "", g.finish))
 	}
 	g.add(usageChunk(g))
+	e.reach(StepGenerated)
 	e.leave(ctx, g, true)
 }
 
+// midStream is the token at which StepMidStream is reached, from 0.
+const midStream = 3
+
+// generated tells of the tokens at which tests strike.
+func (e *Engine) generated(token int) {
+	switch token {
+	case 0:
+		e.reach(StepFirstToken)
+	case midStream:
+		e.reach(StepMidStream)
+	}
+}
+
 // leave ends a call: it gives its slot back and holds its prompt in cache.
 func (e *Engine) leave(ctx context.Context, g *generation, ran bool) {
 	g.complete()
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -15,6 +15,38 @@
 	slow     time.Duration
 	loseNext int
 	silenced time.Time
+	tap      func(Step)
+}
+
+// Step is a point in a stand-in's work at which a test may strike.
+type Step string
+
+// The steps.
+const (
+	StepAppend     Step = "append"      // a record has arrived and is not yet in the log
+	StepAppended   Step = "appended"    // a record is in the log and not yet answered
+	StepReceived   Step = "received"    // an engine or a service was sent a call
+	StepFirstToken Step = "first token" // an engine generated the first token
+	StepMidStream  Step = "mid-stream"  // an engine generated the fourth token
+	StepGenerated  Step = "generated"   // an engine generated the last token
+	StepRan        Step = "ran"         // a service ran a call and has not answered
+)
+
+// OnStep sets what is called at each step.
+func (f *Faults) OnStep(tap func(Step)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tap = tap
+}
+
+// reach tells that a step is reached.
+func (f *Faults) reach(s Step) {
+	f.mu.Lock()
+	tap := f.tap
+	f.mu.Unlock()
+	if tap != nil {
+		tap(s)
+	}
 }
 
 // SetDown makes the stand-in break every connection.
--- a/standin/link.go
+++ b/standin/link.go
@@ -66,6 +66,7 @@
 	defer l.mu.Unlock()
 	l.dead = true
 	for c := range l.conns {
+		c.end()
 		_ = c.Conn.Close()
 	}
 	for _, inner := range l.listeners {
@@ -85,6 +86,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	close(l.gate)
+	for c := range l.conns {
+		c.flush()
+	}
 }
 
 // Forget makes every open connection go silent for good. New ones work.
@@ -153,54 +157,88 @@
 	link      *Link
 	forgotten chan struct{}
 	closed    chan struct{}
-	forget1   sync.Once
-	close1    sync.Once
+	forgets   sync.Once
+	closes    sync.Once
+
+	mu sync.Mutex
+	// held is what was written while the process was paused.
+	held []byte
 }
 
-func (c *linkConn) forget() { c.forget1.Do(func() { close(c.forgotten) }) }
+func (c *linkConn) forget() { c.forgets.Do(func() { close(c.forgotten) }) }
+
+// lost reports whether the connection was lost track of.
+func (c *linkConn) lost() bool {
+	select {
+	case <-c.forgotten:
+		return true
+	default:
+		return false
+	}
+}
 
-// hold waits while the process is paused, and for ever on a connection that
-// was lost track of.
-func (c *linkConn) hold() error {
+// paused returns a channel that is closed when the process runs, and whether
+// it stands still now.
+func (c *linkConn) paused() (<-chan struct{}, bool) {
 	c.link.mu.Lock()
 	gate := c.link.gate
 	c.link.mu.Unlock()
 	select {
 	case <-gate:
-	case <-c.closed:
-		return net.ErrClosed
-	}
-	select {
-	case <-c.forgotten:
-		<-c.closed
-		return net.ErrClosed
+		return gate, false
 	default:
-		return nil
+		return gate, true
 	}
 }
 
-// Read reads what has arrived.
+// Read reads what has arrived. It waits while the process is paused, and for
+// ever on a connection that was lost track of.
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if hold := c.hold(); hold != nil {
-		return 0, hold
+	gate, _ := c.paused()
+	select {
+	case <-gate:
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+	if c.lost() {
+		<-c.closed
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// Write sends.
+// Write sends. While the process is paused, what it writes is held back.
 func (c *linkConn) Write(p []byte) (int, error) {
-	if err := c.hold(); err != nil {
-		return 0, err
+	_, paused := c.paused()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.lost():
+		return len(p), nil
+	case paused || len(c.held) > 0:
+		c.held = append(c.held, p...)
+		return len(p), nil
 	}
 	return c.Conn.Write(p)
 }
 
+// flush sends what was held back.
+func (c *linkConn) flush() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.held) > 0 && !c.lost() {
+		_, _ = c.Conn.Write(c.held)
+	}
+	c.held = nil
+}
+
+// end lets go of those who wait on the connection.
+func (c *linkConn) end() { c.closes.Do(func() { close(c.closed) }) }
+
 // Close ends the connection.
 func (c *linkConn) Close() error {
-	c.close1.Do(func() {
-		close(c.closed)
-		c.link.remove(c)
-	})
+	c.end()
+	c.link.remove(c)
 	return c.Conn.Close()
 }
--- a/standin/list.go
+++ b/standin/list.go
@@ -21,8 +21,10 @@
 	// for ever.
 	Expire time.Duration
 
-	mu       sync.Mutex
-	hosts    map[string]announced
+	mu    sync.Mutex
+	hosts map[string]announced
+	// forced holds the hosts that are shown as leaving, whatever they announce.
+	forced   map[string]bool
 	versions []version
 }
 
@@ -78,6 +80,17 @@
 	}
 }
 
+// ForceLeaving shows a host as leaving, whatever it announces, or ends that.
+func (l *List) ForceLeaving(host string, leaving bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.forced == nil {
+		l.forced = make(map[string]bool)
+	}
+	l.forced[host] = leaving
+	l.record(now)
+}
+
 // SetUpstream lists an upstream, or changes its entry.
 func (l *List) SetUpstream(u descriptor.Upstream, now time.Time) {
 	l.mu.Lock()
@@ -129,7 +142,7 @@
 	m := l.newest()
 	m.Hosts = nil
 	for _, a := range l.hosts {
-		m.Hosts = append(m.Hosts, a.host)
+		m.Hosts = append(m.Hosts, a.host.WithLeaving(a.host.Leaving || l.forced[a.host.ID]))
 	}
 	slices.SortFunc(m.Hosts, func(a, b descriptor.Host) int { return strings.Compare(a.ID, b.ID) })
 	l.versions = append(l.versions, version{members: m, from: now})
--- a/standin/log.go
+++ b/standin/log.go
@@ -34,6 +34,23 @@
 
 	mu      sync.Mutex
 	streams map[string]*stream
+	tap     func(stream string, data []byte, s Step)
+}
+
+// OnAppend sets what is called before and after each append.
+func (l *Log) OnAppend(tap func(stream string, data []byte, s Step)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tap = tap
+}
+
+func (l *Log) tell(stream string, data []byte, s Step) {
+	l.mu.Lock()
+	tap := l.tap
+	l.mu.Unlock()
+	if tap != nil {
+		tap(stream, data, s)
+	}
 }
 
 // stream is one stream of a Log.
@@ -64,7 +81,10 @@
 		http.Error(w, "too many appends", http.StatusTooManyRequests)
 		return
 	}
-	offset := l.Add(r.PathValue("stream"), data, now)
+	stream := r.PathValue("stream")
+	l.tell(stream, data, StepAppend)
+	offset := l.Add(stream, data, now)
+	l.tell(stream, data, StepAppended)
 	if l.loses() {
 		abort()
 	}
--- /dev/null
+++ b/standin/memory.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+)
+
+// A Memory is a network within one process. It serves tests that run in a
+// synctest bubble, where sockets can't be used. The zero value is empty.
+type Memory struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+}
+
+// Address returns the address of a port.
+func (m *Memory) Address(n int) string { return net.JoinHostPort("10.0.0.1", strconv.Itoa(n)) }
+
+// Listen accepts connections at an address.
+func (m *Memory) Listen(address string) (net.Listener, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.listeners == nil {
+		m.listeners = make(map[string]*memoryListener)
+	}
+	if _, taken := m.listeners[address]; taken {
+		return nil, &net.OpError{Op: "listen", Err: syscall.EADDRINUSE}
+	}
+	l := &memoryListener{network: m, address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	m.listeners[address] = l
+	return l, nil
+}
+
+// Dial opens a connection to an address.
+func (m *Memory) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	m.mu.Lock()
+	l, ok := m.listeners[address]
+	m.mu.Unlock()
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	if !ok {
+		return nil, refused
+	}
+	near, far := net.Pipe()
+	accepted := newMemoryConn(far, address)
+	select {
+	case l.accepted <- accepted:
+		return newMemoryConn(near, address), nil
+	case <-l.closed:
+		_ = accepted.Close()
+		return nil, refused
+	case <-ctx.Done():
+		_ = accepted.Close()
+		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+	}
+}
+
+type memoryListener struct {
+	network  *Memory
+	address  string
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		delete(l.network.listeners, l.address)
+	})
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
+
+type memoryAddr string
+
+func (a memoryAddr) Network() string { return "tcp" }
+func (a memoryAddr) String() string  { return string(a) }
+
+// memoryConn is one end of a pipe whose writes never wait for the reader, as
+// those of a socket with room in its buffer.
+type memoryConn struct {
+	net.Conn
+	address string
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	queue  []byte
+	closed bool
+}
+
+func newMemoryConn(c net.Conn, address string) *memoryConn {
+	m := &memoryConn{Conn: c, address: address, wake: make(chan struct{}, 1)}
+	go m.pump()
+	return m
+}
+
+// pump writes what is queued. After a close it writes the rest first.
+func (c *memoryConn) pump() {
+	for range c.wake {
+		for {
+			data, closed := c.take()
+			if len(data) > 0 {
+				if _, err := c.Conn.Write(data); err != nil {
+					return
+				}
+				continue
+			}
+			if closed {
+				_ = c.Conn.Close()
+				return
+			}
+			break
+		}
+	}
+}
+
+func (c *memoryConn) take() (data []byte, closed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	data, c.queue = c.queue, nil
+	return data, c.closed
+}
+
+func (c *memoryConn) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Write queues data.
+func (c *memoryConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.queue = append(c.queue, p...)
+	c.signal()
+	return len(p), nil
+}
+
+// Close ends the connection.
+func (c *memoryConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	pending := len(c.queue) > 0
+	c.mu.Unlock()
+	if !pending {
+		_ = c.Conn.Close()
+	}
+	c.signal()
+	return nil
+}
+
+// LocalAddr returns the address that was dialled.
+func (c *memoryConn) LocalAddr() net.Addr { return memoryAddr(c.address) }
+
+// RemoteAddr returns the address that was dialled.
+func (c *memoryConn) RemoteAddr() net.Addr { return memoryAddr(c.address) }
--- a/standin/server.go
+++ b/standin/server.go
@@ -15,6 +15,7 @@
 	mu      sync.Mutex
 	address string
 	server  *http.Server
+	closed  bool
 }
 
 // Listen listens on the machine's own network.
@@ -40,7 +41,7 @@
 func (s *Server) Start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.server != nil {
+	if s.server != nil || s.closed {
 		return nil
 	}
 	l, err := s.listen(s.address)
@@ -53,6 +54,14 @@
 	return nil
 }
 
+// Close stops the server for good.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.Stop()
+}
+
 // Stop breaks every connection and refuses new ones.
 func (s *Server) Stop() {
 	s.mu.Lock()
--- a/standin/service.go
+++ b/standin/service.go
@@ -49,10 +49,12 @@
 		http.Error(w, "fencing number is old", http.StatusConflict)
 		return
 	}
+	s.reach(StepReceived)
 	number := s.record(ServiceRun{
 		Path: r.URL.Path, Key: key, Call: r.Header.Get("X-Request-Id"), Body: string(body), At: time.Now(),
 	})
 	sleep(r.Context(), s.Work)
+	s.reach(StepRan)
 	if s.loses() {
 		abort()
 	}
--- a/stop.go
+++ b/stop.go
@@ -59,7 +59,7 @@
 	now := h.settings.clock()
 	view := h.members.view()
 	byHost := make(map[descriptor.Host][]*messenger.ProgramState)
-	for _, s := range h.coordinator.Hand() {
+	for _, s := range h.coordinator.Hand(now) {
 		next, ok := view.Home(locator.Route(s.GetProgram()), now)
 		if ok && next.ID != h.settings.self.ID {
 			byHost[next] = append(byHost[next], s)
