Strike with every pair of faults at the steps of budgets and at most once

Change: - a dead host that the list still shows was trusted again whenever its suspicion lapsed, so the hosts never counted as settled and a poison request was never counted. Suspected hosts are still asked, and one that answers is trusted again. - a suspected request waits, for 4 s at most, until its upstream can have one home only; its deaths then count. - a call that was sent into a silent connection, and that the engine did not know afterwards, was taken for a crash of the engine. It is sent again on a new connection; idle connections to engines are closed when one goes silent. - the caller client reads the refusal within a stream and waits between tries.

Ruled out: a shorter list lag (the flapping came from the suspicion's end).

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -117,7 +117,7 @@
 func (f *Failure) transient() bool {
 	switch f.Status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadGateway:
-		return f.Type != "lost"
+		return f.Type != "lost" && f.Type != "poison" && f.Type != "cancelled"
 	default:
 		return false
 	}
--- a/caller/program.go
+++ b/caller/program.go
@@ -5,6 +5,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -95,7 +96,7 @@
 	}
 	key := crand.Text()
 	var last error
-	for range tries {
+	for try := range tries {
 		r, err := p.client.send(ctx, p.request("/v1/chat/completions", key, body))
 		if err != nil {
 			return "", err
@@ -107,6 +108,11 @@
 			p.token = token
 			return text, nil
 		}
+		var failure *Failure
+		if errors.As(last, &failure) && !failure.transient() {
+			return "", failure
+		}
+		pause(ctx, try)
 	}
 	return "", &LostError{Cause: last}
 }
@@ -123,6 +129,9 @@
 			return b.String(), token, nil
 		}
 		part := gjson.ParseBytes(data)
+		if part.Get("error").IsObject() {
+			return "", "", failureOf(reply{status: http.StatusBadGateway, body: data})
+		}
 		b.WriteString(part.Get("choices.0.delta.content").String())
 		if t := part.Get("citronpier.token"); t.Exists() {
 			token = t.String()
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -64,6 +64,7 @@
 		Services: []string{"timer", "install", "order", "courier"},
 		Rules:    examples.Demo,
 		Lag:      500 * time.Millisecond,
+		Expire:   10 * time.Second,
 		Logger:   c.Logger,
 		Linger:   time.Second,
 		Drain:    20 * time.Second,
--- a/dialer/engine.go
+++ b/dialer/engine.go
@@ -85,6 +85,10 @@
 	res, err := e.http.Do(req)
 	if err != nil {
 		p.stop()
+		if p.silent.Load() {
+			// What lost track of one connection may have lost the idle ones.
+			e.http.CloseIdleConnections()
+		}
 		return nil, p.failure(unsent(u.ID, err))
 	}
 	if res.StatusCode != http.StatusOK {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -35,8 +35,10 @@
 	began      time.Time
 	position   int64
 	// sent says that the upstream may have been given the call.
-	sent  bool
-	usage messenger.End
+	sent bool
+	// answered says that the upstream began to answer.
+	answered bool
+	usage    messenger.End
 }
 
 func (a *attempt) run(ctx context.Context) error {
@@ -82,6 +84,7 @@
 	a.sent = a.sent || !unsent(err)
 	for tries := 0; ; tries++ {
 		if err == nil {
+			a.answered = true
 			err = a.relay(parts)
 			_ = parts.Close()
 		}
@@ -98,10 +101,23 @@
 		}
 		a.dispatcher.config.Counters.Retried(retryReason(err))
 		pause(ctx, resumePause)
-		parts, err = a.resume(ctx)
+		parts, err = a.reconnect(ctx, err)
 	}
 }
 
+// reconnect opens a new connection after a failure. Where the connection went
+// silent before the engine had answered, the request may not have got there:
+// an engine that does not know it is sent it again.
+func (a *attempt) reconnect(ctx context.Context, cause error) (connector.Parts, error) {
+	parts, err := a.resume(ctx)
+	var silent *connector.SilentError
+	var gone *connector.GoneError
+	if errors.As(cause, &silent) && errors.As(err, &gone) && !a.answered {
+		return a.start(ctx)
+	}
+	return parts, err
+}
+
 func (a *attempt) open(ctx context.Context) (connector.Parts, error) {
 	if a.req.GetResume() {
 		parts, err := a.resume(ctx)
@@ -113,6 +129,10 @@
 			return nil, err
 		}
 	}
+	return a.start(ctx)
+}
+
+func (a *attempt) start(ctx context.Context) (connector.Parts, error) {
 	priority := ordinaryPriority
 	if a.req.GetRank() == descriptor.Urgent.String() {
 		priority = urgentPriority
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -53,7 +53,7 @@
 		return refuser.New(refuser.Upstream, "upstream %s is not listed", req.GetUpstream())
 	}
 	if req.GetAlone() {
-		release, err := l.isolate(ctx)
+		release, err := d.isolate(ctx, l)
 		if err != nil {
 			return err
 		}
@@ -129,6 +129,27 @@
 	}
 }
 
+// isolate waits until a request that may crash its upstream is the only such
+// one there: no other holds the place, and no other host can be home of it.
+func (d *Dispatcher) isolate(ctx context.Context, l *lane) (release func(), err error) {
+	release, err = l.isolate(ctx)
+	if err != nil {
+		return nil, err
+	}
+	until := d.config.Clock().Add(settledBudget)
+	for !d.config.Settled() && d.config.Clock().Before(until) && ctx.Err() == nil {
+		pause(ctx, settledEvery)
+	}
+	return release, nil
+}
+
+const (
+	// settledEvery is the time between two looks whether the hosts are settled.
+	settledEvery = 100 * time.Millisecond
+	// settledBudget is how long a suspected request waits for that.
+	settledBudget = 4 * time.Second
+)
+
 // wait waits until the call's turn comes.
 func wait(ctx context.Context, turn <-chan struct{}) error {
 	select {
--- a/follow.go
+++ b/follow.go
@@ -23,7 +23,7 @@
 func (h *Host) followLoads(ctx context.Context) error {
 	for ctx.Err() == nil {
 		h.coordinator.Observe(h.dispatcher.Loads())
-		for _, other := range h.others() {
+		for _, other := range h.listed() {
 			h.readLoads(ctx, other)
 		}
 		pause(ctx, loadEvery)
@@ -39,6 +39,7 @@
 		h.suspect(other)
 		return
 	}
+	h.members.trust(other.ID)
 	h.coordinator.Observe(reply.GetLoads())
 }
 
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -55,7 +55,9 @@
 	Services []string
 	Rules    string
 	// Lag is how late the list shows a change.
-	Lag    time.Duration
+	Lag time.Duration
+	// Expire is how long the list shows a host that died; 0 is for ever.
+	Expire time.Duration
 	Logger zerolog.Logger
 	Linger time.Duration
 	Drain  time.Duration
@@ -106,7 +108,7 @@
 
 // Start runs a fleet and publishes its rules.
 func Start(c Config) (*Fleet, error) {
-	f := &Fleet{Log: &standin.Log{}, List: &standin.List{Lag: c.Lag}, Services: make(map[string]*Service), config: c}
+	f := &Fleet{Log: &standin.Log{}, List: &standin.List{Lag: c.Lag, Expire: c.Expire}, Services: make(map[string]*Service), config: c}
 	if err := f.platform(); err != nil {
 		return nil, err
 	}
--- a/members.go
+++ b/members.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// trust ends the suspicion of a host that answers.
+func (t *memberTable) trust(host string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.current = t.current.WithoutSuspect(host)
+}
+
 // settled reports whether the live hosts have been the same for a while.
 func (t *memberTable) settled(now time.Time) bool {
 	t.mu.Lock()
@@ -94,8 +101,12 @@
 func (t *memberTable) suspect(host string, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := until.Add(-suspicion)
+	before := t.current.Live(now)
 	t.current = t.current.WithSuspect(host, until)
-	t.changed = until.Add(-suspicion)
+	if !slices.Equal(before, t.current.Live(now)) {
+		t.changed = now
+	}
 }
 
 // suspect avoids a host that failed a call. The host itself is never suspect.
@@ -150,6 +161,14 @@
 	}
 }
 
+// listed returns the other hosts that the list shows as live, those that are
+// suspected here included.
+func (h *Host) listed() []descriptor.Host {
+	return slices.DeleteFunc(slices.Clone(h.members.view().Members().Hosts), func(o descriptor.Host) bool {
+		return o.Leaving || o.ID == h.settings.self.ID
+	})
+}
+
 // others returns the other live hosts.
 func (h *Host) others() []descriptor.Host {
 	live := h.members.view().Live(h.settings.clock())
--- a/prover/check_test.go
+++ b/prover/check_test.go
@@ -12,7 +12,7 @@
 )
 
 // check asserts the promises from the ledgers and from what callers were told.
-func (w *world) check(r row, c column) {
+func (w *world) check() {
 	if !w.hit {
 		w.t.Errorf("the step was never reached")
 	}
--- a/prover/matrix_test.go
+++ b/prover/matrix_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
 // TestMatrix strikes with every fault at every step.
@@ -18,6 +20,45 @@
 	}
 }
 
+// pairSteps are the steps at which the promises of at most once and of budgets
+// are decided.
+var pairSteps = []string{"claim", "grant", "intent", "outcome", "answer"}
+
+// TestPairs strikes with every pair of faults at those steps: two different
+// ones together, and each one twice.
+func TestPairs(t *testing.T) {
+	for i, first := range rows {
+		for _, second := range rows[i:] {
+			for _, c := range columns {
+				if !slices.Contains(pairSteps, c.name) {
+					continue
+				}
+				t.Run(first.name+"+"+second.name+"/"+c.name, func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) { cell(t, pair(first, second), c) })
+				})
+			}
+		}
+	}
+}
+
+// again is the time between two strikes of the same fault.
+const again = 3 * time.Second
+
+func pair(first, second row) row {
+	return row{name: first.name + "+" + second.name, strike: func(w *world) {
+		first.strike(w)
+		if first.name == second.name {
+			w.later(again, func() { second.strike(w) })
+			return
+		}
+		second.strike(w)
+	}}
+}
+
+// rulesIn is how long a new host may take to have the rules in force.
+const rulesIn = 2 * time.Second
+
 func cell(t *testing.T, r row, c column) {
 	w := newWorld(t)
 	defer w.close()
@@ -30,7 +71,8 @@
 		w.watch(watching)
 	}()
 	w.run(ctx, c, r.strike)
+	time.Sleep(rulesIn)
 	stop()
 	<-watched
-	w.check(r, c)
+	w.check()
 }
--- a/prover/row_test.go
+++ b/prover/row_test.go
@@ -16,11 +16,17 @@
 	strike func(w *world)
 }
 
+// replacedIn is when a new host takes the place of one that died.
+const replacedIn = 5 * time.Second
+
 // outage is how long faults of the platform last.
 const outage = 15 * time.Second
 
 var rows = []row{
-	{"killed", func(w *world) { w.target().Kill() }},
+	{"killed", func(w *world) {
+		w.target().Kill()
+		w.later(replacedIn, w.replace)
+	}},
 	{"paused", func(w *world) {
 		h := w.target()
 		h.Link.Pause()
--- a/prover/world_test.go
+++ b/prover/world_test.go
@@ -44,9 +44,10 @@
 
 	mu sync.Mutex
 	// home is the host that serves the main program.
-	home    *launcher.Host
-	told    []told
-	leaving []departure
+	home     *launcher.Host
+	told     []told
+	leaving  []departure
+	replaced int
 	// claims holds when a program was claimed.
 	claims map[string][]time.Time
 	// onAppend strikes at records.
@@ -80,7 +81,7 @@
 		Engine: standin.EngineConfig{
 			Slots: 2, Step: 20 * time.Millisecond, CacheTokens: 100_000, CrashOn: poison,
 		},
-		Model: model, Services: []string{"timer"}, Rules: examples.Demo, Lag: lag,
+		Model: model, Services: []string{"timer"}, Rules: examples.Demo, Lag: lag, Expire: 10 * time.Second,
 		Linger: time.Second, Drain: time.Minute, Logger: cellLogger(t),
 	})
 	if err != nil {
@@ -123,10 +124,25 @@
 func (w *world) target() *launcher.Host {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.home == nil {
-		return w.fleet.Hosts[0]
+	if w.home != nil && w.home.Node.Live() {
+		return w.home
+	}
+	for _, h := range w.fleet.Hosts {
+		if h.Node.Live() {
+			return h
+		}
+	}
+	return w.fleet.Hosts[0]
+}
+
+// replace starts a new host in the place of one that died.
+func (w *world) replace() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.replaced++
+	if _, err := w.fleet.AddHost(fmt.Sprintf("replacement-%d", w.replaced)); err != nil {
+		w.t.Errorf("replace: %v", err)
 	}
-	return w.home
 }
 
 // find notes the host that is home of a program, or a later one in its order.
--- a/standin/link.go
+++ b/standin/link.go
@@ -17,6 +17,8 @@
 	conns     map[*linkConn]struct{}
 	listeners []net.Listener
 	dead      bool
+	// pauses counts the pauses that have not ended.
+	pauses int
 	// gate is closed while the process runs.
 	gate chan struct{}
 }
@@ -78,13 +80,20 @@
 func (l *Link) Pause() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.gate = make(chan struct{})
+	l.pauses++
+	if l.pauses == 1 {
+		l.gate = make(chan struct{})
+	}
 }
 
 // Resume lets a paused process go on.
 func (l *Link) Resume() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.pauses--
+	if l.pauses > 0 {
+		return
+	}
 	close(l.gate)
 	for c := range l.conns {
 		c.flush()
