--- a/caller/program.go
+++ b/caller/program.go
@@ -177,3 +177,10 @@
 		},
 	}
 }
+
+// System puts a system message at the front of an empty history.
+func (p *Program) System(text string) {
+	if len(p.messages) == 0 {
+		p.messages = []Message{{Role: "system", Content: text}}
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -22,6 +22,7 @@
 	"github.com/citronpier/citronpier/refuser"
 	"github.com/citronpier/citronpier/replayer"
 	"github.com/citronpier/citronpier/reporter"
+	"github.com/citronpier/citronpier/router"
 	"github.com/citronpier/citronpier/sequencer"
 )
 
@@ -38,8 +39,10 @@
 	// Suspect reports a host that failed a call.
 	Suspect func(host descriptor.Host)
 	// Dispatch runs an attempt at an upstream's home.
-	Dispatch  func(ctx context.Context, h descriptor.Host, req *messenger.DispatchRequest) (connector.Frames, error)
-	Engine    connector.Engine
+	Dispatch func(ctx context.Context, h descriptor.Host, req *messenger.DispatchRequest) (connector.Frames, error)
+	Engine   connector.Engine
+	// Routing is how upstreams are chosen; nil is router.LeastCost.
+	Routing   router.Policy
 	Signer    *sequencer.Signer
 	Committer *committer.Committer
 	Replica   *replayer.Replayer
@@ -56,6 +59,7 @@
 type Coordinator struct {
 	config Config
 	loads  loadTable
+	quotas quotaTable
 
 	mu       sync.Mutex
 	programs map[string]*program
--- a/coordinator/model.go
+++ b/coordinator/model.go
@@ -146,7 +146,7 @@
 		}
 		candidates = append(candidates, candidate)
 	}
-	best, ok := router.Choose(candidates, router.Request{
+	best, ok := router.ChooseBy(c.config.Routing, candidates, router.Request{
 		Key: g.program.id, Prompt: g.req.GetPrompt(), DataCentre: c.config.Self.DataCentre,
 	})
 	return best.Upstream, ok
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/isolator"
+	"github.com/citronpier/citronpier/limiter"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/recorder"
 	"github.com/citronpier/citronpier/refuser"
@@ -32,6 +33,11 @@
 		return err
 	}
 	r.previous = previous
+	end, err := r.coordinator.quotas.begin(r.req.GetOrganisation(), r.quota(), r.coordinator.config.Clock())
+	if err != nil {
+		return err
+	}
+	defer end()
 	if err := r.admit(ctx); err != nil {
 		return err
 	}
@@ -52,6 +58,15 @@
 	return err
 }
 
+// quota returns the bounds of the call's organisation.
+func (r *run) quota() limiter.Quota {
+	c := r.coordinator
+	l, _ := c.config.Rules().Limit(r.req.GetOrganisation())
+	return limiter.Quota{
+		Rate: l.Rate, Running: l.Running, Hosts: len(c.config.View().Live(c.config.Clock())),
+	}
+}
+
 // interrupt returns what ends the call where another host takes the program
 // over. A plain service's call is not cut: it may have run.
 func (r *run) interrupt() func() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -25,8 +25,10 @@
 	Refresh func(ctx context.Context)
 	// Settled reports that no host has come or gone of late: a second home of
 	// an upstream can't exist.
-	Settled  func() bool
-	Rules    func() parser.Rules
+	Settled func() bool
+	Rules   func() parser.Rules
+	// Order is the order of service; nil is scheduler.Fair.
+	Order    scheduler.Discipline
 	Clock    func() time.Time
 	Counters *counter.Set
 	Logger   zerolog.Logger
@@ -111,7 +113,7 @@
 	if !ok {
 		return nil, false
 	}
-	l := newLane(u)
+	l := newLane(u, d.config.Order)
 	d.lanes[upstream] = l
 	return l, true
 }
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -37,8 +37,9 @@
 	breaker limiter.Breaker
 }
 
-func newLane(u descriptor.Upstream) *lane {
+func newLane(u descriptor.Upstream, order scheduler.Discipline) *lane {
 	return &lane{
+		queue:    scheduler.Queue{Discipline: order},
 		suspects: make(chan struct{}, 1),
 		upstream: u,
 		granted:  make(map[*scheduler.Item]chan struct{}),
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -59,8 +59,10 @@
 	// Expire is how long the list shows a host that died; 0 is for ever.
 	Expire time.Duration
 	Logger zerolog.Logger
-	Linger time.Duration
-	Drain  time.Duration
+	// Options are given to each host besides its own.
+	Options []citronpier.Option
+	Linger  time.Duration
+	Drain   time.Duration
 }
 
 // Fleet is a running set of hosts and stand-ins.
@@ -163,6 +165,14 @@
 
 func (f *Fleet) dataCentre(i int) string { return f.config.DataCentres[i%len(f.config.DataCentres)] }
 
+func (f *Fleet) engineList() []*standin.Engine {
+	list := make([]*standin.Engine, len(f.Engines))
+	for i, e := range f.Engines {
+		list[i] = e.Engine
+	}
+	return list
+}
+
 // restartAfter is how long a crashed engine stays away.
 const restartAfter = 500 * time.Millisecond
 
@@ -182,6 +192,7 @@
 			Models: []string{f.config.Model}, Slots: config.Slots,
 		}
 		f.Engines = append(f.Engines, e)
+		e.SetPeers(f.engineList)
 		f.List.SetUpstream(e.Upstream, time.Now())
 	}
 	for i, name := range f.config.Services {
@@ -232,7 +243,7 @@
 	h.Host = descriptor.Host{
 		ID: id, Caller: callers.Addr().String(), Peer: peers.Addr().String(), DataCentre: f.dataCentre(len(f.Hosts)),
 	}
-	h.Node, err = citronpier.New(
+	h.Node, err = citronpier.New(append([]citronpier.Option{
 		citronpier.WithHost(h.Host),
 		citronpier.WithTokenKeys([]byte(tokenKey)),
 		citronpier.WithPeerKey(peerKey),
@@ -244,7 +255,7 @@
 		citronpier.WithLogger(f.config.Logger),
 		citronpier.WithLinger(f.config.Linger),
 		citronpier.WithDrain(f.config.Drain),
-	)
+	}, f.config.Options...)...)
 	if err != nil {
 		return nil, fmt.Errorf("make host: %w", err)
 	}
--- a/option.go
+++ b/option.go
@@ -9,6 +9,8 @@
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/dialer"
+	"github.com/citronpier/citronpier/router"
+	"github.com/citronpier/citronpier/scheduler"
 )
 
 // An Option sets one property of a Host.
@@ -33,6 +35,8 @@
 	drain     time.Duration
 	linger    time.Duration
 	maxBody   int64
+	routing   router.Policy
+	order     scheduler.Discipline
 }
 
 const (
@@ -94,5 +98,11 @@
 // WithLinger sets how long a stopping host still forwards calls.
 func WithLinger(d time.Duration) Option { return func(s *settings) { s.linger = d } }
 
+// WithRouting sets how upstreams are chosen.
+func WithRouting(p router.Policy) Option { return func(s *settings) { s.routing = p } }
+
+// WithDiscipline sets the order in which waiting calls are served.
+func WithDiscipline(d scheduler.Discipline) Option { return func(s *settings) { s.order = d } }
+
 // WithMaxBody bounds a request body, in bytes.
 func WithMaxBody(n int64) Option { return func(s *settings) { s.maxBody = n } }
--- a/parser/builder.go
+++ b/parser/builder.go
@@ -45,7 +45,7 @@
 }
 
 func (b *builder) statement(c *cursor, s Source) {
-	switch c.choose("organisation", "kind", "service", "floor", "limit", "clock", "outage") {
+	switch c.choose("organisation", "kind", "service", "floor", "limit", "clock") {
 	case "organisation":
 		b.organisation(c, s)
 	case "kind":
@@ -58,8 +58,6 @@
 		b.limit(c, s)
 	case "clock":
 		b.clock(c, s)
-	case "outage":
-		b.outage(c, s)
 	}
 }
 
@@ -200,14 +198,6 @@
 	}
 }
 
-func (b *builder) outage(c *cursor, s Source) {
-	o := Outage{Source: s, Ride: c.choose("refuse", "ride") == "ride"}
-	c.expectEnd()
-	if b.add(c, "outage", o) {
-		b.rules.outage = o
-	}
-}
-
 func (c *cursor) expectEnd() {
 	if c.done() {
 		return
--- a/parser/rule.go
+++ b/parser/rule.go
@@ -88,18 +88,9 @@
 	Location *time.Location
 }
 
-// Outage says what happens to calls that may not be repeated while the log is
-// down.
-type Outage struct {
-	Source
-	// Ride says that such calls run on the memory of one incarnation.
-	Ride bool
-}
-
 func (Organisation) rule() {}
 func (Kind) rule()         {}
 func (Service) rule()      {}
 func (Floor) rule()        {}
 func (Limit) rule()        {}
 func (Clock) rule()        {}
-func (Outage) rule()       {}
--- a/parser/rules.go
+++ b/parser/rules.go
@@ -21,7 +21,6 @@
 	limits        map[string]Limit
 	floor         Floor
 	clock         Clock
-	outage        Outage
 }
 
 // DefaultKind is the kind of programs that name none.
@@ -74,9 +73,6 @@
 // Floor returns the percentage that ordinary work keeps.
 func (r Rules) Floor() int { return r.floor.Percent }
 
-// Ride reports whether calls that may not be repeated run without the log.
-func (r Rules) Ride() bool { return r.outage.Ride }
-
 // Location returns the time zone in which days end.
 func (r Rules) Location() *time.Location {
 	if r.clock.Location == nil {
--- a/reporter/line.go
+++ b/reporter/line.go
@@ -29,9 +29,6 @@
 	case parser.Clock:
 		l.Rule = fmt.Sprintf("The day ends at midnight in %s", rule.Location)
 		l.Verdict = Held
-	case parser.Outage:
-		l.Rule = "What happens to calls that may run once while the log is down"
-		l.Figure = fmt.Sprintf("%d calls refused for want of the log", t.refusals[string(refuser.Log)])
 	}
 	return l
 }
--- a/scheduler/item.go
+++ b/scheduler/item.go
@@ -45,6 +45,13 @@
 	return key
 }
 
+// flatten makes the item's place depend on its arrival alone.
+func (i *Item) flatten(epoch time.Time) {
+	i.Rank = descriptor.Ordinary
+	i.Organisation = ""
+	i.key = i.Queued.Sub(epoch).Seconds()
+}
+
 func (i *Item) cost() float64 { return float64(max(1, i.Cost)) }
 
 func (i *Item) weight() float64 { return float64(max(1, i.Weight)) }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,6 +12,8 @@
 	// Floor is the share in percent of the service that ordinary work keeps
 	// while both ranks wait.
 	Floor int
+	// Discipline is the order of service; nil is Fair.
+	Discipline Discipline
 
 	classes [2]class
 	// given is the service in tokens that each rank had since both wait.
@@ -31,6 +33,9 @@
 		q.epoch = i.Queued
 	}
 	i.key = i.place(q.epoch)
+	if _, plain := q.Discipline.(FirstCome); plain {
+		i.flatten(q.epoch)
+	}
 	q.classes[i.Rank].push(i)
 }
 
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -64,6 +64,18 @@
 	return held
 }
 
+// peek returns how many prompt tokens are held and counts as no use.
+func (c *prefixCache) peek(prompt []prefix) int64 {
+	var held int64
+	for _, p := range prompt {
+		if _, ok := c.blocks[p.id]; !ok {
+			return held
+		}
+		held += p.tokens
+	}
+	return held
+}
+
 // hold keeps a prompt and drops what was used longest ago to make room.
 func (c *prefixCache) hold(session string, prompt []prefix) {
 	if c.blocks == nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -53,8 +53,10 @@
 	// Continued says that the call went on with an answer begun elsewhere.
 	Continued bool
 	// Prompt, Cached and Generated are in tokens.
-	Prompt    int64
-	Cached    int64
+	Prompt int64
+	Cached int64
+	// Elsewhere is the most of the prompt that another engine held.
+	Elsewhere int64
 	Generated int64
 	Limit     int64
 	Began     time.Time
@@ -80,6 +82,8 @@
 	epoch context.Context
 	end   context.CancelFunc
 	order orderBook
+	// peers lists the engines that Elsewhere is counted over.
+	peers func() []*Engine
 }
 
 // generation is one call's answer so far.
@@ -267,8 +271,10 @@
 		e.leave(ctx, g, false)
 		return
 	}
+	elsewhere := e.elsewhere(g.prompt)
 	e.mu.Lock()
 	g.run.Cached = e.cache.lookup(g.prompt)
+	g.run.Elsewhere = elsewhere
 	e.mu.Unlock()
 	sleep(ctx, e.config.Prefill*time.Duration(g.run.Prompt-g.run.Cached))
 	for i, word := range g.words {
@@ -295,6 +301,28 @@
 	e.leave(ctx, g, true)
 }
 
+// SetPeers sets the engines that Elsewhere is counted over.
+func (e *Engine) SetPeers(peers func() []*Engine) { e.peers = peers }
+
+func (e *Engine) elsewhere(prompt []prefix) int64 {
+	if e.peers == nil {
+		return 0
+	}
+	var most int64
+	for _, other := range e.peers() {
+		if other != e {
+			most = max(most, other.holds(prompt))
+		}
+	}
+	return most
+}
+
+func (e *Engine) holds(prompt []prefix) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.peek(prompt)
+}
+
 // midStream is the token at which StepMidStream is reached, from 0.
 const midStream = 3
 
