Let an organisation into a queue that another has filled

Cause: the bound of a queue counted all organisations together, so a flood of one had new programs of another refused. The scenario also flooded both organisations, which hid it.

Change: an organisation below an equal share of the queue is admitted beside one that has filled it; floods come from the first organisation only; the engines' busy share is reported.

Ruled out: the queue's order (a sparse call waits for 2 others at most beside a flood of 64; now a test).

--- a/bench/row.go
+++ b/bench/row.go
@@ -39,7 +39,10 @@
 	Wasted float64 `json:"wasted"`
 	// Kept is the share, in percent, of the tokens generated during the
 	// flood's half of the run that went to ordinary programs.
-	Kept     float64        `json:"kept"`
+	Kept float64 `json:"kept"`
+	// Busy is the share, in percent, of the slots' time that calls held during
+	// the middle half of the run.
+	Busy     float64        `json:"busy"`
 	Refusals map[string]int `json:"refusals"`
 	// CPU is the processor time of the whole process, in cores, and Memory its
 	// heap in MiB; both include the stand-ins and the other policies' hosts.
@@ -62,6 +65,7 @@
 		}
 	}
 	r.Wasted, r.Kept = ledgers(f, u.began, length)
+	r.Busy = busy(f, u.began.Add(length/4), u.began.Add(length*3/4))
 	return r
 }
 
@@ -85,6 +89,24 @@
 	return percent(again, prompt), percent(ordinary, total)
 }
 
+// busy returns the share of the slots' time that calls held between two times.
+func busy(f *launcher.Fleet, from, to time.Time) float64 {
+	var held time.Duration
+	for _, e := range f.Engines {
+		for _, r := range e.Runs() {
+			begin, end := r.Began, r.Ended
+			if begin.Before(from) {
+				begin = from
+			}
+			if end.After(to) {
+				end = to
+			}
+			held += max(0, end.Sub(begin))
+		}
+	}
+	return percent(int64(held), int64(to.Sub(from))*engines*slots)
+}
+
 func percent(part, whole int64) float64 {
 	if whole == 0 {
 		return 0
@@ -146,11 +168,11 @@
 
 func printRows(w io.Writer, rows []row) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "scenario\tpolicy\tmean\turgent p50\tp95\tp99\tordinary p50\tp95\tp99\tother p95\twasted\tkept\trefused\tprograms\tcores")
+	_, _ = fmt.Fprintln(t, "scenario\tpolicy\tmean\turgent p50\tp95\tp99\tordinary p50\tp95\tp99\tother p95\twasted\tkept\tbusy\trefused\tprograms\tcores")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t%d\t%d\t%.1f\n",
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t%.0f%%\t%d\t%d\t%.1f\n",
 			r.Scenario, r.Policy, r.All.Mean, r.Urgent.P50, r.Urgent.P95, r.Urgent.P99,
-			r.Ordinary.P50, r.Ordinary.P95, r.Ordinary.P99, r.Other.P95, r.Wasted, r.Kept,
+			r.Ordinary.P50, r.Ordinary.P95, r.Ordinary.P99, r.Other.P95, r.Wasted, r.Kept, r.Busy,
 			r.All.Refused, r.All.Programs, r.CPU)
 	}
 	_ = t.Flush()
--- a/bench/run.go
+++ b/bench/run.go
@@ -109,7 +109,7 @@
 
 // next returns the time of the next arrival of a Poisson process.
 func next(s scenario, src source, at, length time.Duration, random *rand.Rand) time.Duration {
-	rate := s.rate(src.base, src.urgent, at, length)
+	rate := s.rate(src, at, length)
 	return at + time.Duration(random.ExpFloat64()/rate*float64(time.Second))
 }
 
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -1,6 +1,10 @@
 package main
 
-import "time"
+import (
+	"time"
+
+	"github.com/citronpier/citronpier/examples"
+)
 
 // scenario is a load on the system. Rates are programs a second.
 type scenario struct {
@@ -8,7 +12,8 @@
 	// ordinary and urgent are the rates of the first organisation, and
 	// other is the ordinary rate of the second.
 	ordinary, urgent, other float64
-	// flood multiplies a rate in the middle half of the run.
+	// flood multiplies a rate of the first organisation in the middle half of
+	// the run.
 	flood       float64
 	floodUrgent bool
 	// lose names what is taken away half way.
@@ -38,11 +43,16 @@
 	return list
 }
 
-// rate returns the arrival rate of a kind of program at a time.
-func (s scenario) rate(base float64, urgent bool, at, length time.Duration) float64 {
+// rate returns the arrival rate of a source at a time.
+func (s scenario) rate(src source, at, length time.Duration) float64 {
 	flooding := at > length/4 && at < length*3/4
-	if s.flood > 0 && urgent == s.floodUrgent && flooding {
-		return base * s.flood
+	if s.flood > 0 && src.floods(s.floodUrgent) && flooding {
+		return src.base * s.flood
 	}
-	return base
+	return src.base
+}
+
+// floods reports whether a source is the one that floods.
+func (src source) floods(urgent bool) bool {
+	return src.key == examples.DeepamKey && src.urgent == urgent
 }
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -57,15 +57,7 @@
 	if !l.breaker.Allows(now) {
 		return nil, refuser.New(refuser.Upstream, "upstream %s fails", l.upstream.ID).WithRetry(time.Second)
 	}
-	a := limiter.Admission{
-		Waiting:  l.queue.Waiting(item.Rank),
-		Bound:    l.slots() * queuePerSlot,
-		Wait:     l.wait(),
-		Deadline: deadline,
-		Begun:    item.Begun,
-		Rank:     item.Rank,
-	}
-	switch d := a.Decide().(type) {
+	switch d := l.admission(item, deadline).Decide().(type) {
 	case limiter.Full:
 		return nil, refuser.New(refuser.Queue, "the queue of upstream %s is full", l.upstream.ID).WithRetry(d.Retry)
 	case limiter.Late:
@@ -80,6 +72,24 @@
 	return c, nil
 }
 
+// admission returns what the decision to let a call wait depends on.
+func (l *lane) admission(item *scheduler.Item, deadline time.Duration) limiter.Admission {
+	own := l.queue.WaitingOf(item.Rank, item.Organisation)
+	organisations := l.queue.Organisations(item.Rank)
+	if own == 0 {
+		organisations++
+	}
+	return limiter.Admission{
+		Waiting:       l.queue.Waiting(item.Rank),
+		Own:           own,
+		Organisations: organisations,
+		Bound:         l.slots() * queuePerSlot,
+		Wait:          l.wait(),
+		Deadline:      deadline,
+		Begun:         item.Begun,
+	}
+}
+
 // leave takes a call out of the queue, or gives its slot back.
 func (l *lane) leave(item *scheduler.Item) {
 	l.mu.Lock()
--- a/limiter/admission.go
+++ b/limiter/admission.go
@@ -1,15 +1,15 @@
 package limiter
 
-import (
-	"time"
-
-	"github.com/citronpier/citronpier/descriptor"
-)
+import "time"
 
 // Admission is the state that the decision to let a call wait depends on.
 type Admission struct {
 	// Waiting counts the waiting calls of the call's rank.
 	Waiting int
+	// Own counts those of the call's organisation.
+	Own int
+	// Organisations counts the organisations that wait, the call's own included.
+	Organisations int
 	// Bound is the most calls of one rank that may wait.
 	Bound int
 	// Wait is how long the call is expected to wait.
@@ -18,7 +18,6 @@
 	Deadline time.Duration
 	// Begun says that the call's program has had a call answered.
 	Begun bool
-	Rank  descriptor.Rank
 }
 
 // newShare is the part of a bound, in percent, that new programs may fill.
@@ -47,14 +46,22 @@
 func (Full) decision()     {}
 func (Late) decision()     {}
 
-// Decide says whether a call may wait.
-func (a Admission) Decide() Decision {
+// full reports whether the queue has no room for the call. An organisation
+// that has less than an equal share of the queue is let in beside one that has
+// filled it.
+func (a Admission) full() bool {
 	bound := a.Bound
 	if !a.Begun {
 		bound = bound * newShare / 100
 	}
+	share := bound / max(1, a.Organisations)
+	return a.Waiting >= max(1, bound) && a.Own >= max(1, share)
+}
+
+// Decide says whether a call may wait.
+func (a Admission) Decide() Decision {
 	switch {
-	case a.Waiting >= max(1, bound):
+	case a.full():
 		return Full{Retry: max(a.Wait, time.Second)}
 	case a.Deadline > 0 && a.Wait > a.Deadline:
 		return Late{Retry: a.Wait - a.Deadline}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -48,10 +48,12 @@
 		a    limiter.Admission
 		want limiter.Decision
 	}{
-		{"room", limiter.Admission{Waiting: 69, Bound: 100}, limiter.Admitted{}},
-		{"new program in the reserve", limiter.Admission{Waiting: 70, Bound: 100}, limiter.Full{Retry: time.Second}},
-		{"running program in the reserve", limiter.Admission{Waiting: 70, Bound: 100, Begun: true}, limiter.Admitted{}},
-		{"full", limiter.Admission{Waiting: 100, Bound: 100, Begun: true, Wait: 3 * time.Second}, limiter.Full{Retry: 3 * time.Second}},
+		{"room", limiter.Admission{Waiting: 69, Own: 69, Bound: 100}, limiter.Admitted{}},
+		{"new program in the reserve", limiter.Admission{Waiting: 70, Own: 70, Bound: 100}, limiter.Full{Retry: time.Second}},
+		{"running program in the reserve", limiter.Admission{Waiting: 70, Own: 70, Bound: 100, Begun: true}, limiter.Admitted{}},
+		{"full", limiter.Admission{Waiting: 100, Own: 100, Bound: 100, Begun: true, Wait: 3 * time.Second}, limiter.Full{Retry: 3 * time.Second}},
+		{"filled by another", limiter.Admission{Waiting: 100, Own: 34, Organisations: 2, Bound: 100}, limiter.Admitted{}},
+		{"over its share", limiter.Admission{Waiting: 100, Own: 35, Organisations: 2, Bound: 100}, limiter.Full{Retry: time.Second}},
 		{"late", limiter.Admission{Bound: 100, Wait: 3 * time.Second, Deadline: time.Second}, limiter.Late{Retry: 2 * time.Second}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,17 @@
 // Waiting returns the number of waiting calls of a rank.
 func (q *Queue) Waiting(rank descriptor.Rank) int { return q.classes[rank].length }
 
+// WaitingOf returns the number of waiting calls of an organisation in a rank.
+func (q *Queue) WaitingOf(rank descriptor.Rank, organisation string) int {
+	if f, ok := q.classes[rank].flows[organisation]; ok {
+		return f.items.Len()
+	}
+	return 0
+}
+
+// Organisations returns the number of organisations that wait in a rank.
+func (q *Queue) Organisations(rank descriptor.Rank) int { return q.classes[rank].waiting.Len() }
+
 // Push adds a call.
 func (q *Queue) Push(i *Item) {
 	if q.epoch.IsZero() {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -136,3 +136,31 @@
 		})
 	})
 }
+
+// An organisation that sends little is served soon while another floods.
+func TestSparseBesideFlood(t *testing.T) {
+	var q scheduler.Queue
+	for range 64 {
+		q.Push(&scheduler.Item{Organisation: "flood", Weight: 2, Cost: 32, Queued: start})
+	}
+	longest := 0
+	for round := range 40 {
+		sparse := &scheduler.Item{Organisation: "sparse", Weight: 1, Cost: 32, Queued: start}
+		q.Push(sparse)
+		for pops := 1; ; pops++ {
+			i := q.Pop()
+			if i == sparse {
+				longest = max(longest, pops)
+				break
+			}
+			q.Push(&scheduler.Item{Organisation: "flood", Weight: 2, Cost: 32, Queued: start})
+		}
+		for range 3 + round%3 {
+			q.Pop()
+			q.Push(&scheduler.Item{Organisation: "flood", Weight: 2, Cost: 32, Queued: start})
+		}
+	}
+	if longest > 2 {
+		t.Errorf("a sparse call waited for %d others", longest)
+	}
+}
