--- a/coordinator/model.go
+++ b/coordinator/model.go
@@ -134,9 +134,10 @@
 func (g *generation) choose() (descriptor.Upstream, bool) {
 	c := g.coordinator
 	held, _ := g.program.place()
+	request := router.Request{Key: g.program.id, Prompt: g.req.GetPrompt(), DataCentre: c.config.Self.DataCentre}
 	var candidates []router.Candidate
-	for _, u := range c.config.View().Members().Upstreams {
-		if u.Leaving || g.excluded[u.ID] || !u.Serves(g.req.GetModel()) {
+	for _, u := range router.Sample(c.config.View().Serving(g.req.GetModel()), held, request) {
+		if g.excluded[u.ID] {
 			continue
 		}
 		candidate := router.Candidate{Upstream: u}
@@ -146,9 +147,7 @@
 		}
 		candidates = append(candidates, candidate)
 	}
-	best, ok := router.ChooseBy(c.config.Routing, candidates, router.Request{
-		Key: g.program.id, Prompt: g.req.GetPrompt(), DataCentre: c.config.Self.DataCentre,
-	})
+	best, ok := router.ChooseBy(c.config.Routing, candidates, request)
 	return best.Upstream, ok
 }
 
--- a/coordinator/once.go
+++ b/coordinator/once.go
@@ -273,8 +273,8 @@
 func (r *run) chooseService(name string, excluded map[string]bool) (descriptor.Upstream, bool) {
 	c := r.coordinator
 	var candidates []router.Candidate
-	for _, u := range c.config.View().Members().Upstreams {
-		if u.Service != name || u.Leaving || excluded[u.ID] {
+	for _, u := range c.config.View().Service(name) {
+		if excluded[u.ID] {
 			continue
 		}
 		candidate := router.Candidate{Upstream: u}
--- a/locator/view.go
+++ b/locator/view.go
@@ -15,6 +15,12 @@
 // View is an immutable picture of the members of the system.
 type View struct {
 	members descriptor.Members
+	// hashes has the hash of each host's id, in the order of members.
+	hashes []uint64
+	// serving has the upstreams of each model, and services those of each
+	// plain service, leaving ones left out.
+	serving  map[string][]descriptor.Upstream
+	services map[string][]descriptor.Upstream
 	// suspects holds the hosts that failed a call, until the given time.
 	suspects map[string]time.Time
 }
@@ -22,9 +28,31 @@
 // WithMembers returns a view of a newer list. Suspicions are kept.
 func (v View) WithMembers(m descriptor.Members) View {
 	v.members = m
+	v.hashes = make([]uint64, len(m.Hosts))
+	for i, h := range m.Hosts {
+		v.hashes[i] = xxhash.Sum64String(h.ID)
+	}
+	v.serving = make(map[string][]descriptor.Upstream)
+	v.services = make(map[string][]descriptor.Upstream)
+	for _, u := range m.Upstreams {
+		v.index(u)
+	}
 	return v
 }
 
+func (v View) index(u descriptor.Upstream) {
+	if u.Leaving {
+		return
+	}
+	if u.Service != "" {
+		v.services[u.Service] = append(v.services[u.Service], u)
+		return
+	}
+	for _, model := range u.Models {
+		v.serving[model] = append(v.serving[model], u)
+	}
+}
+
 // WithSuspect returns a view that avoids a host until the given time.
 func (v View) WithSuspect(host string, until time.Time) View {
 	s := maps.Clone(v.suspects)
@@ -49,6 +77,12 @@
 // Members returns the list that the view was made from.
 func (v View) Members() descriptor.Members { return v.members }
 
+// Serving returns the upstreams that take calls of a model.
+func (v View) Serving(model string) []descriptor.Upstream { return v.serving[model] }
+
+// Service returns the upstreams that take calls of a plain service.
+func (v View) Service(name string) []descriptor.Upstream { return v.services[name] }
+
 // Live returns the hosts that take new work, suspects left out. Where every
 // host is suspected, suspicion is no guide and all are returned.
 func (v View) Live(now time.Time) []descriptor.Host {
@@ -75,67 +109,79 @@
 
 // Home returns the home of a key.
 func (v View) Home(key string, now time.Time) (descriptor.Host, bool) {
-	return top(key, v.Live(now))
-}
-
-// Ranked returns the live hosts in the order in which they become home of a
-// key, the home itself first.
-func (v View) Ranked(key string, now time.Time) []descriptor.Host {
-	return rank(key, v.Live(now))
+	return v.top(key, now, func(*descriptor.Host) bool { return true })
 }
 
 // UpstreamHome returns the home of an upstream. Hosts in the upstream's own
 // data centre go first.
 func (v View) UpstreamHome(u descriptor.Upstream, now time.Time) (descriptor.Host, bool) {
-	live := v.Live(now)
-	near := make([]descriptor.Host, 0, len(live))
-	for _, h := range live {
-		if h.DataCentre == u.DataCentre {
-			near = append(near, h)
-		}
-	}
-	if len(near) > 0 {
-		live = near
+	key := "upstream/" + u.ID
+	near := func(h *descriptor.Host) bool { return h.DataCentre == u.DataCentre }
+	if h, ok := v.top(key, now, near); ok && !v.suspected(h.ID, now) {
+		return h, true
 	}
-	return top("upstream/"+u.ID, live)
+	return v.Home(key, now)
 }
 
-// weight is the rendezvous weight of a host for a key (highest random weight,
-// Thaler and Ravishankar 1998).
-func weight(key, host string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(host)
-	return d.Sum64()
+// Ranked returns the live hosts in the order in which they become home of a
+// key, the home itself first.
+func (v View) Ranked(key string, now time.Time) []descriptor.Host {
+	live := v.Live(now)
+	sum := xxhash.Sum64String(key)
+	slices.SortFunc(live, func(a, b descriptor.Host) int {
+		x, y := weight(sum, xxhash.Sum64String(a.ID)), weight(sum, xxhash.Sum64String(b.ID))
+		if c := cmp.Compare(y, x); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return live
 }
 
-func top(key string, hosts []descriptor.Host) (descriptor.Host, bool) {
-	var best descriptor.Host
-	var most uint64
-	found := false
-	for _, h := range hosts {
-		w := weight(key, h.ID)
-		if !found || w > most || (w == most && h.ID < best.ID) {
-			best, most, found = h, w, true
+// top returns the matching host with the highest weight for a key. Suspects
+// are taken only where there is no other.
+func (v View) top(key string, now time.Time, match func(*descriptor.Host) bool) (descriptor.Host, bool) {
+	sum := xxhash.Sum64String(key)
+	best, bestSuspect := -1, -1
+	for i := range v.members.Hosts {
+		h := &v.members.Hosts[i]
+		if h.Leaving || !match(h) {
+			continue
+		}
+		place := &best
+		if len(v.suspects) > 0 && v.suspected(h.ID, now) {
+			place = &bestSuspect
+		}
+		if *place < 0 || v.before(sum, i, *place) {
+			*place = i
 		}
 	}
-	return best, found
+	if best < 0 {
+		best = bestSuspect
+	}
+	if best < 0 {
+		return descriptor.Host{}, false
+	}
+	return v.members.Hosts[best], true
 }
 
-func rank(key string, hosts []descriptor.Host) []descriptor.Host {
-	weights := make(map[string]uint64, len(hosts))
-	for _, h := range hosts {
-		weights[h.ID] = weight(key, h.ID)
+// before reports whether host i goes before host j for a key.
+func (v View) before(sum uint64, i, j int) bool {
+	x, y := weight(sum, v.hashes[i]), weight(sum, v.hashes[j])
+	if x != y {
+		return x > y
 	}
-	slices.SortFunc(hosts, func(a, b descriptor.Host) int {
-		if c := cmp.Compare(weights[b.ID], weights[a.ID]); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID, b.ID)
-	})
-	return hosts
+	return v.members.Hosts[i].ID < v.members.Hosts[j].ID
+}
+
+// weight is the rendezvous weight of a host for a key (highest random weight,
+// Thaler and Ravishankar 1998). The mixing is that of SplitMix64 (Steele, Lea
+// and Flood 2014).
+func weight(key, host uint64) uint64 {
+	x := key ^ host
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
 }
 
 // Route returns the short form of a key by which its home is found. Call ids
--- /dev/null
+++ b/locator/view_test.go
@@ -0,0 +1,87 @@
+package locator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/locator"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func view(hosts int) locator.View {
+	var m descriptor.Members
+	for i := range hosts {
+		m.Hosts = append(m.Hosts, descriptor.Host{ID: fmt.Sprintf("host-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3)})
+	}
+	return locator.View{}.WithMembers(m)
+}
+
+const keys = 10_000
+
+func TestHomesAreEven(t *testing.T) {
+	v := view(10)
+	count := make(map[string]int)
+	for i := range keys {
+		h, _ := v.Home(locator.Route(fmt.Sprint(i)), now)
+		count[h.ID]++
+	}
+	for host, n := range count {
+		if n < keys/10*8/10 || n > keys/10*12/10 {
+			t.Errorf("%s is home of %d of %d keys", host, n, keys)
+		}
+	}
+}
+
+// Only the keys of a lost host move.
+func TestOnlyLostHomesMove(t *testing.T) {
+	v := view(10)
+	without := v.WithSuspect("host-3", now.Add(time.Second))
+	for i := range keys {
+		key := locator.Route(fmt.Sprint(i))
+		before, _ := v.Home(key, now)
+		after, _ := without.Home(key, now)
+		if before.ID != "host-3" && before != after {
+			t.Fatalf("key %s moved from %s to %s", key, before.ID, after.ID)
+		}
+		if after.ID == "host-3" {
+			t.Fatalf("key %s is at the lost host", key)
+		}
+		if next := v.Ranked(key, now); before.ID == "host-3" && after != next[1] {
+			t.Fatalf("key %s went to %s, not to the next in order", key, after.ID)
+		}
+	}
+}
+
+func TestSuspicionEnds(t *testing.T) {
+	v := view(1).WithSuspect("host-0", now.Add(time.Second))
+	if _, ok := v.Home("k", now); !ok {
+		t.Error("a sole host is home even when suspected")
+	}
+	v = view(2).WithSuspect("host-0", now.Add(time.Second))
+	got := []int{len(v.Live(now)), len(v.Live(now.Add(time.Second))), len(v.WithoutSuspect("host-0").Live(now))}
+	if diff := cmp.Diff([]int{1, 2, 2}, got); diff != "" {
+		t.Errorf("live hosts (-want +got):\n%s", diff)
+	}
+}
+
+func TestUpstreamHomeIsNear(t *testing.T) {
+	v := view(9)
+	u := descriptor.Upstream{ID: "engine-1", DataCentre: "dc-2"}
+	h, _ := v.UpstreamHome(u, now)
+	if diff := cmp.Diff("dc-2", h.DataCentre); diff != "" {
+		t.Errorf("data centre (-want +got):\n%s", diff)
+	}
+	for i := range 9 {
+		if i%3 == 2 {
+			v = v.WithSuspect(fmt.Sprintf("host-%d", i), now.Add(time.Second))
+		}
+	}
+	if h, ok := v.UpstreamHome(u, now); !ok || h.DataCentre == "dc-2" {
+		t.Errorf("with its data centre lost the home is %s", h.ID)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,7 +37,8 @@
 	distance = 2 * time.Millisecond
 	// brokenCost keeps calls away from a broken upstream while others exist.
 	brokenCost = time.Minute
-	// hashed is the number of candidates compared besides the cache holders.
+	// hashed is the number of hashed alternatives in the own data centre, and
+	// as many anywhere.
 	hashed = 2
 )
 
@@ -55,41 +54,55 @@
 	return cost
 }
 
-// Choose returns the cheapest candidate. Where few are given it compares all;
-// among many it compares the cache holders and two hashed alternatives.
+// Choose returns the cheapest candidate, or false where there is none.
 func Choose(candidates []Candidate, r Request) (Candidate, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
-	return slices.MinFunc(sample(candidates, r), func(a, b Candidate) int {
-		if c := cmp.Compare(a.Cost(r), b.Cost(r)); c != 0 {
-			return c
+	best, least := 0, candidates[0].Cost(r)
+	for i := 1; i < len(candidates); i++ {
+		cost := candidates[i].Cost(r)
+		if cost < least || (cost == least && weight(r.Key, candidates[i]) > weight(r.Key, candidates[best])) {
+			best, least = i, cost
 		}
-		return cmp.Compare(weight(r.Key, b), weight(r.Key, a))
-	}), true
+	}
+	return candidates[best], true
 }
 
-// compareAll is the number of candidates up to which all are compared.
+// compareAll is the number of upstreams up to which all are compared.
 const compareAll = 32
 
-func sample(candidates []Candidate, r Request) []Candidate {
-	if len(candidates) <= compareAll {
-		return candidates
+// Sample returns the upstreams to compare for a call: all of a few; of many,
+// the one that holds the program's prompt and some hashed alternatives (power
+// of two choices, Mitzenmacher 2001), those in the own data centre first.
+func Sample(upstreams []descriptor.Upstream, held string, r Request) []descriptor.Upstream {
+	if len(upstreams) <= compareAll {
+		return upstreams
 	}
-	var chosen, others []Candidate
-	for _, c := range candidates {
-		if c.Cached > 0 {
-			chosen = append(chosen, c)
-			continue
+	chosen := make([]descriptor.Upstream, 0, 1+2*hashed)
+	sum := xxhash.Sum64String(r.Key)
+	near := 0
+	for i := range upstreams {
+		// A walk from a hashed start: the first of the own data centre.
+		u := upstreams[(sum+uint64(i))%uint64(len(upstreams))]
+		switch {
+		case u.ID == held:
+			chosen = append(chosen, u)
+		case near < hashed && u.DataCentre == r.DataCentre:
+			chosen = append(chosen, u)
+			near++
 		}
-		others = append(others, c)
 	}
-	slices.SortFunc(others, func(a, b Candidate) int {
-		return cmp.Compare(weight(r.Key, b), weight(r.Key, a))
-	})
-	return append(chosen, others[:min(hashed, len(others))]...)
+	for i := range uint64(hashed) {
+		chosen = append(chosen, upstreams[(sum>>32+i*sum)%uint64(len(upstreams))])
+	}
+	return chosen
 }
 
 func weight(key string, c Candidate) uint64 {
-	return xxhash.Sum64String(key + "\x00" + c.Upstream.ID)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString(c.Upstream.ID)
+	return d.Sum64()
 }
