Hand programs over at a planned stop without claims

Cause: TestPlannedStop: programs were claimed while a host stopped, which counts what its holder could still spend as spent. Other hosts read the list up to 0.5 s later and did not know whom to ask.

Change: a stopping host goes on with the programs that it holds and names itself to callers until all hosts have had time to read that it is leaving; then new homes ask it for each program (Yield), and it hands over the rest at its end.

Ruled out: pushing idle programs at once (a push and the new home's claim cross).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -116,7 +116,7 @@
 	if j, ok := c.jobs[identity]; ok {
 		return c.attach(j, digest)
 	}
-	if c.leaving {
+	if _, held := c.programs[req.GetProgram()]; c.leaving && !held {
 		return nil, refuser.New(refuser.Leaving, "host %s is stopping", c.config.Self.ID).WithRetry(time.Second)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -243,6 +243,12 @@
 	delete(c.programs, id)
 }
 
+// Holds reports whether the host acts for a program.
+func (c *Coordinator) Holds(id string) bool {
+	_, ok := c.program(id)
+	return ok
+}
+
 // Programs returns the number of programs that the host is home for.
 func (c *Coordinator) Programs() int {
 	c.mu.Lock()
--- a/forward.go
+++ b/forward.go
@@ -28,6 +28,15 @@
 	return home, nil
 }
 
+// homeOf returns the home of a program's call. A stopping host goes on with the
+// programs that no other has asked for yet.
+func (h *Host) homeOf(route, program string) (descriptor.Host, error) {
+	if program != "" && h.leaving.Load() && h.coordinator.Holds(program) {
+		return h.settings.self, nil
+	}
+	return h.home(route)
+}
+
 func (h *Host) isSelf(host descriptor.Host) bool { return host.ID == h.settings.self.ID }
 
 // callHome opens the stream of a call at its home.
@@ -69,7 +78,7 @@
 // open connects to the present home.
 func (f *forwarded) open() error {
 	for {
-		home, err := f.host.home(f.route)
+		home, err := f.host.homeOf(f.route, f.req.GetProgram())
 		if err != nil {
 			return err
 		}
--- a/locator/view.go
+++ b/locator/view.go
@@ -40,6 +40,19 @@
 	return v
 }
 
+// WithHost returns a view in which a listed host stands as given.
+func (v View) WithHost(h descriptor.Host) View {
+	m := v.members
+	m.Hosts = slices.Clone(m.Hosts)
+	for i := range m.Hosts {
+		if m.Hosts[i].ID == h.ID {
+			m.Hosts[i] = h
+		}
+	}
+	v.members = m
+	return v
+}
+
 func (v View) index(u descriptor.Upstream) {
 	if u.Leaving {
 		return
--- a/members.go
+++ b/members.go
@@ -34,6 +34,8 @@
 	read time.Time
 	// changed is when the live hosts last changed.
 	changed time.Time
+	// shown is when the list first showed the host itself as leaving.
+	shown time.Time
 	// left names the host itself once it is stopping.
 	left string
 }
@@ -53,6 +55,9 @@
 	m.Hosts = slices.Clone(m.Hosts)
 	at := slices.IndexFunc(m.Hosts, func(h descriptor.Host) bool { return h.ID == self.ID })
 	own := self.WithLeaving(t.left == self.ID)
+	if at >= 0 && m.Hosts[at].Leaving && t.shown.IsZero() {
+		t.shown = asked
+	}
 	if at < 0 {
 		m.Hosts = append(m.Hosts, own)
 	} else {
@@ -71,6 +76,14 @@
 	t.current = t.current.WithoutSuspect(host)
 }
 
+// unnamed reports whether all hosts have had time to read that the host itself
+// is leaving.
+func (t *memberTable) unnamed(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.shown.IsZero() && now.Sub(t.shown) > 2*listEvery
+}
+
 // settled reports whether the live hosts have been the same for a while.
 func (t *memberTable) settled(now time.Time) bool {
 	t.mu.Lock()
--- a/queries.go
+++ b/queries.go
@@ -22,10 +22,15 @@
 // the order starts at this host and goes on over the other data centres.
 func (q *queries) Hosts(route string) []descriptor.Host {
 	view := q.members.view()
-	if route != "" {
-		return view.Ranked(route, q.settings.clock())
+	now := q.settings.clock()
+	if q.leaving.Load() && !q.members.unnamed(now) {
+		// A new home has to know whom to ask for its programs.
+		view = view.WithHost(q.settings.self)
+	}
+	if route == "" {
+		route = "callers/" + q.settings.self.ID
 	}
-	return view.Ranked("callers/"+q.settings.self.ID, q.settings.clock())
+	return view.Ranked(route, now)
 }
 
 // Rules returns the rules in force.
