Drop a program of one call when its call is refused

Change: the program ends with its only call.

Measured: TestStockClientErrors: two hosts held programs before, none after.

--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -52,7 +52,14 @@
 		return r.serve(ctx)
 	}
 	err = r.generate(ctx)
-	if err != nil && r.program.isOvertaken() {
+	switch {
+	case err == nil:
+		return nil
+	case r.previous == nil:
+		// A program of one call ends with it.
+		r.coordinator.drop(r.program.id)
+		return err
+	case r.program.isOvertaken():
 		return r.coordinator.superseded(r.program)
 	}
 	return err
--- a/host.go
+++ b/host.go
@@ -250,6 +250,9 @@
 	_ connector.Frames = (*messenger.Pipe)(nil)
 )
 
+// Programs returns the number of programs that the host is home for.
+func (h *Host) Programs() int { return h.coordinator.Programs() }
+
 // Rules returns the rules in force on the host.
 func (h *Host) Rules() parser.Rules { return h.publisher.Rules() }
 
--- a/launcher/openai_test.go
+++ b/launcher/openai_test.go
@@ -123,4 +123,10 @@
 			}
 		})
 	}
+	// A refused program of one call leaves nothing behind.
+	for _, h := range f.Hosts {
+		if diff := cmp.Diff(0, h.Node.Programs()); diff != "" {
+			t.Errorf("programs on %s (-want +got):\n%s", h.ID, diff)
+		}
+	}
 }
