Count a death as alone only where the attempt began alone

A suspected request waits 4 s for the hosts to settle and then goes on; whether it was alone was asked only after the death, when the hosts had settled meanwhile.

Change: it has to have been alone at the beginning and at the end.

Ruled out: the same request of two programs (the texts differ).

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -35,6 +35,8 @@
 	emit       func(*messenger.Frame) error
 	began      time.Time
 	position   int64
+	// alone says that the call began as the one suspect on its upstream.
+	alone bool
 	// sent says that the upstream may have been given the call.
 	sent bool
 	// answered says that the upstream began to answer.
@@ -205,7 +207,7 @@
 	fault := messenger.NewFault(refuser.New(refuser.Upstream, "%w", err).WithRun(run))
 	fault.Sent = sent
 	fault.Crashed = died && sent
-	fault.Alone = a.req.GetAlone() && a.dispatcher.config.Settled()
+	fault.Alone = a.alone && a.dispatcher.config.Settled()
 	fault.Load = a.lane.load()
 	return a.emit(&messenger.Frame{Body: &messenger.Frame_Fault{Fault: fault}})
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -76,7 +76,10 @@
 		return refuser.New(refuser.Upstream, "upstream %s is leaving", req.GetUpstream())
 	}
 	d.config.Counters.Reached(counter.StageDispatched)
-	a := attempt{dispatcher: d, lane: l, req: req, emit: emit, began: d.config.Clock()}
+	a := attempt{
+		dispatcher: d, lane: l, req: req, emit: emit, began: d.config.Clock(),
+		alone: req.GetAlone() && d.config.Settled(),
+	}
 	return a.run(ctx)
 }
 
