Say not run of a keyed call only after the log gave it the key

Cause: read once more as a whole: a keyed service call that was refused before arbitration (a takeover that could not be claimed while the log was down, a quota, a missing rule file, a lost home) was told run: no, though an earlier attempt with the key may have run at a host that died. The matrix did not see it: the caller client tries again and only its last answer was compared.

Change: answers of not run on the way to the last one are compared with the service's ledger too. One method, CallRequest.Unproved, turns such a refusal into unknown unless the caller says that it never sent the key; only the run that won the key in the log keeps its word. Two special cases in the window check and the unrecorded intent are gone.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -36,7 +36,7 @@
 	http *http.Client
 
 	mu      sync.Mutex
-	retried func(error)
+	retried func(key string, cause error)
 	// seeds are the addresses that the client was made with.
 	seeds []string
 	// hosts are the caller addresses last named by the system, and until is
@@ -95,8 +95,9 @@
 	hosts  []string
 }
 
-// OnRetry sets what is called with the cause of each further try.
-func (c *Client) OnRetry(f func(error)) { c.retried = f }
+// OnRetry sets what is called with the idempotency key and the cause of each
+// further try.
+func (c *Client) OnRetry(f func(key string, cause error)) { c.retried = f }
 
 // send sends a request to one host after the other until one answers.
 func (c *Client) send(ctx context.Context, r request) (reply, error) {
@@ -119,7 +120,7 @@
 			break
 		}
 		if c.retried != nil {
-			c.retried(last)
+			c.retried(r.header.Get("Idempotency-Key"), last)
 		}
 		pause(ctx, try)
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -102,7 +102,7 @@
 	c.config.Counters.Reached(counter.StageReceived)
 	j, err := c.job(req)
 	if err != nil {
-		return err
+		return req.Unproved(refuser.From(err))
 	}
 	return j.follow(ctx, req.GetFrom(), emit)
 }
@@ -147,6 +147,9 @@
 		return
 	}
 	refusal := refuser.From(err)
+	if !r.won {
+		refusal = req.Unproved(refusal)
+	}
 	c.config.Counters.Refused(refusal.Reason)
 	c.config.Reporter.Refused(refusal.Reason)
 	c.forget(req, refusal)
--- a/coordinator/once.go
+++ b/coordinator/once.go
@@ -74,6 +74,7 @@
 	}
 	switch v := r.await(ctx, key, sender).(type) {
 	case arbiter.Mine:
+		r.won = true
 		return r.send(ctx, rule, key, sender, v.Fence)
 	case arbiter.Settled:
 		return r.settled(v.Outcome)
@@ -130,11 +131,7 @@
 	if r.previous == nil {
 		return nil
 	}
-	err := r.coordinator.covered(r.previous.GetOpened(), r.previous.GetProgram())
-	if err != nil {
-		return refuser.From(err).WithRun(descriptor.RunUnknown)
-	}
-	return nil
+	return r.coordinator.covered(r.previous.GetOpened(), r.previous.GetProgram())
 }
 
 func (r *run) judge(key, sender string) (verdict arbiter.Verdict) {
@@ -182,14 +179,9 @@
 func (*timeoutError) Error() string { return "no answer in time" }
 
 // unrecorded refuses a call whose intent is not known to be in the log. This
-// attempt is not sent. Whether an earlier one was is known only where the
-// caller says that there was none.
+// attempt is not sent; execute adds what is known of earlier ones.
 func (r *run) unrecorded(cause error) error {
-	run := descriptor.RunUnknown
-	if r.req.GetFirst() {
-		run = descriptor.RunNo
-	}
-	return refuser.New(refuser.Log, "the log does not answer: %w", cause).WithRun(run).WithRetry(commitBudget)
+	return refuser.New(refuser.Log, "the log does not answer: %w", cause).WithRetry(commitBudget)
 }
 
 // release frees a key whose call was never sent.
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -22,6 +22,9 @@
 	// previous is the token that the call follows.
 	previous *recorder.Token
 	print    isolator.Fingerprint
+	// won says that the log gave the key to this run: no other attempt was or
+	// will be sent, and what it says of itself holds for the key.
+	won bool
 	// alone says that the call may crash the upstream that runs it.
 	alone bool
 }
--- a/prover/check_test.go
+++ b/prover/check_test.go
@@ -150,6 +150,13 @@
 		}
 	}
 	w.checkNotRun()
+	for _, x := range w.denied {
+		for _, run := range w.fleet.Services["timer"].Ran() {
+			if run.Key == x.key && run.At.Before(x.at) {
+				w.t.Errorf("%s was told as not run after it had run: %v", x.key, x.err)
+			}
+		}
+	}
 }
 
 // checkNotRun: a call that was told as not run had not run and did not run
--- a/prover/stop_test.go
+++ b/prover/stop_test.go
@@ -21,7 +21,7 @@
 		w.fleet.Services["timer"].Work = 9 * time.Second
 		var cut []string
 		var mu sync.Mutex
-		w.client.OnRetry(func(err error) {
+		w.client.OnRetry(func(_ string, err error) {
 			if strings.Contains(err.Error(), "/v1/hosts") {
 				return // a caller that has asked no one for a while finds a live host
 			}
--- a/prover/world_test.go
+++ b/prover/world_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/citronpier/citronpier/caller"
+	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/examples"
 	"github.com/citronpier/citronpier/launcher"
 	"github.com/citronpier/citronpier/publisher"
@@ -46,8 +47,10 @@
 	// main is the id of the main program.
 	main string
 	// home is the host that serves the main program.
-	home     *launcher.Host
-	told     []told
+	home *launcher.Host
+	told []told
+	// denied holds the answers of not run that the client tried again after.
+	denied   []told
 	leaving  []departure
 	replaced int
 	// claims holds when a program was claimed.
@@ -95,6 +98,7 @@
 	f.Log.OnAppend(w.appended)
 	w.link = standin.NewLink(network.Dial, network.Listen)
 	w.client = caller.New(examples.DeepamKey, f.Callers(), w.link.Dial)
+	w.client.OnRetry(w.refusedOnTheWay)
 	if err := f.Ready(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -173,6 +177,16 @@
 	}
 }
 
+// refusedOnTheWay notes an answer of not run that the client tried again after.
+func (w *world) refusedOnTheWay(key string, cause error) {
+	var f *caller.Failure
+	if errors.As(cause, &f) && f.Run == descriptor.RunNo {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.denied = append(w.denied, told{key: key, err: cause, at: time.Now()})
+	}
+}
+
 func (w *world) note(x told) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/server/chat.go
+++ b/server/chat.go
@@ -25,7 +25,7 @@
 		s.stream(ctx, req, frames)
 		return
 	}
-	s.whole(ctx, frames)
+	s.whole(ctx, req, frames)
 }
 
 func (s *Server) chatCall(ctx iris.Context) (*messenger.CallRequest, string, error) {
@@ -49,10 +49,10 @@
 }
 
 // whole answers a call that is not streamed.
-func (s *Server) whole(ctx iris.Context, frames frameReader) {
+func (s *Server) whole(ctx iris.Context, req *messenger.CallRequest, frames frameReader) {
 	f, err := last(frames)
 	if err != nil {
-		s.refuse(ctx, err)
+		s.refuse(ctx, req.Unproved(refuser.From(err)))
 		return
 	}
 	switch body := f.GetBody().(type) {
--- a/server/service.go
+++ b/server/service.go
@@ -6,42 +6,48 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/citronpier/citronpier/messenger"
+	"github.com/citronpier/citronpier/refuser"
 )
 
 // service answers POST /v1/services/{name}/{path...}.
 func (s *Server) service(ctx iris.Context) {
-	req, route, err := s.serviceCall(ctx)
+	req := &messenger.CallRequest{
+		Service: ctx.Params().Get("name"),
+		Key:     ctx.GetHeader(headerKey),
+		First:   ctx.GetHeader(headerAttempt) == "1",
+	}
+	route, err := s.serviceCall(ctx, req)
 	if err != nil {
-		s.refuse(ctx, err)
+		s.refuse(ctx, req.Unproved(refuser.From(err)))
 		return
 	}
 	frames, err := s.config.Commands.Call(ctx.Request().Context(), route, req)
 	if err != nil {
-		s.refuse(ctx, err)
+		s.refuse(ctx, req.Unproved(refuser.From(err)))
 		return
 	}
 	defer func() { _ = frames.Close() }()
-	s.whole(ctx, frames)
+	s.whole(ctx, req, frames)
 }
 
-func (s *Server) serviceCall(ctx iris.Context) (*messenger.CallRequest, string, error) {
+// serviceCall sets what the request says of the call and returns its route.
+func (s *Server) serviceCall(ctx iris.Context, req *messenger.CallRequest) (route string, err error) {
 	o, err := s.organisation(ctx)
 	if err != nil {
-		return nil, "", err
+		return "", err
 	}
 	raw, err := s.body(ctx)
 	if err != nil {
-		return nil, "", err
+		return "", err
 	}
-	req := &messenger.CallRequest{Organisation: o.Name}
+	req.Organisation = o.Name
 	if _, err := s.headers(ctx, req); err != nil {
-		return nil, "", err
+		return "", err
 	}
 	digest := sha256.Sum256(raw)
-	req.Service = ctx.Params().Get("name")
 	req.Path = ctx.Params().Get("path")
 	req.Type = ctx.GetHeader("Content-Type")
 	req.Body = raw
 	req.Presented = digest[:]
-	return req, identify(req), nil
+	return identify(req), nil
 }
