Take out what nothing uses and check senders in one place

Cause: read once more as a whole: prefix digests were made, kept and sent with each call and read by no one; a retry reason had no counter behind it; the two handlers that take calls checked key, body and headers each for itself.

Seen and left: nothing appends Finish records yet, which the budget ledger reads; time.Now in caller, launcher and demonstrator is at their edges.

--- a/counter/counter.go
+++ b/counter/counter.go
@@ -39,7 +39,6 @@
 	RetrySilent   Retry = "silent"   // the connection made no progress
 	RetryResume   Retry = "resume"   // the answer was resumed from a position
 	RetryHome     Retry = "home"     // a host that is home could not be reached
-	RetryQueue    Retry = "queue"    // the upstream's queue was full
 )
 
 // Stage is a step that calls pass.
--- a/sequencer/digest.go
+++ b/sequencer/digest.go
@@ -13,9 +13,6 @@
 // Digest identifies a sequence of messages.
 type Digest [digestBytes]byte
 
-// Block returns a short form of the digest for the cache index.
-func (d Digest) Block() uint64 { return binary.LittleEndian.Uint64(d[:8]) }
-
 // Extend returns the digest of the sequence with one message added. It covers
 // what a message means and not how it is written: stock clients reorder fields
 // and drop empty ones when they send an answer back.
@@ -96,8 +93,6 @@
 	Presented Digest
 	// Count is the number of messages.
 	Count int64
-	// Blocks has one entry for each prefix of the messages, shortest first.
-	Blocks []uint64
 }
 
 // Chain returns the history of a message array. The first preceding messages
@@ -108,7 +103,6 @@
 	messages.ForEach(func(_, m gjson.Result) bool {
 		h.Presented = h.Presented.extend(hasher, m)
 		h.Count++
-		h.Blocks = append(h.Blocks, h.Presented.Block())
 		if h.Count == preceding {
 			h.Preceding = h.Presented
 		}
--- a/server/chat.go
+++ b/server/chat.go
@@ -29,16 +29,8 @@
 }
 
 func (s *Server) chatCall(ctx iris.Context) (*messenger.CallRequest, string, error) {
-	o, err := s.organisation(ctx)
-	if err != nil {
-		return nil, "", err
-	}
-	raw, err := s.body(ctx)
-	if err != nil {
-		return nil, "", err
-	}
-	req := &messenger.CallRequest{Organisation: o.Name}
-	previous, err := s.headers(ctx, req)
+	req := &messenger.CallRequest{}
+	raw, previous, err := s.accept(ctx, req)
 	if err != nil {
 		return nil, "", err
 	}
--- a/server/request.go
+++ b/server/request.go
@@ -32,8 +32,6 @@
 	maxKey = 256
 	// bytesPerToken estimates the length of a prompt.
 	bytesPerToken = 4
-	// keptBlocks is the number of prefix digests that go with a call.
-	keptBlocks = 16
 )
 
 func bearer(header string) (string, bool) {
@@ -55,6 +53,21 @@
 	return raw, nil
 }
 
+// accept checks who sends a request and returns its body and the token of the
+// call that it follows, nil where there is none.
+func (s *Server) accept(ctx iris.Context, req *messenger.CallRequest) (raw []byte, previous *recorder.Token, err error) {
+	o, err := s.organisation(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	req.Organisation = o.Name
+	if raw, err = s.body(ctx); err != nil {
+		return nil, nil, err
+	}
+	previous, err = s.headers(ctx, req)
+	return raw, previous, err
+}
+
 // headers sets what a request's headers say of a call.
 func (s *Server) headers(ctx iris.Context, req *messenger.CallRequest) (previous *recorder.Token, err error) {
 	req.Program = ctx.GetHeader(headerProgram)
@@ -167,7 +180,6 @@
 	req.Preceding = history.Preceding[:]
 	req.Presented = history.Presented[:]
 	req.Messages = history.Count
-	req.Blocks = history.Blocks[max(0, len(history.Blocks)-keptBlocks):]
 	req.Prompt = int64(len(messages.Raw) / bytesPerToken)
 	return nil
 }
--- a/server/service.go
+++ b/server/service.go
@@ -32,18 +32,10 @@
 
 // serviceCall sets what the request says of the call and returns its route.
 func (s *Server) serviceCall(ctx iris.Context, req *messenger.CallRequest) (route string, err error) {
-	o, err := s.organisation(ctx)
+	raw, _, err := s.accept(ctx, req)
 	if err != nil {
 		return "", err
 	}
-	raw, err := s.body(ctx)
-	if err != nil {
-		return "", err
-	}
-	req.Organisation = o.Name
-	if _, err := s.headers(ctx, req); err != nil {
-		return "", err
-	}
 	digest := sha256.Sum256(raw)
 	req.Path = ctx.Params().Get("path")
 	req.Type = ctx.GetHeader("Content-Type")
