Hold budget by turn and keep homes while the store is away

Besides, a home's death lost its grant of three turns, all of a chat's budget of 1,728 tokens: 12 programs were told 402 though their budget was not spent. Ruled out: the relay (no host reached the store), upstream capacity.

Change: holds and settlements of single turns are recorded, so that a new home knows what was spent, with a small allowance a home may use unrecorded. A slow home that is heard of is no longer passed over. A turn waits up to 0.8 s for a store that is away.

--- a/budgeter/escrow.go
+++ b/budgeter/escrow.go
@@ -1,79 +1,75 @@
 package budgeter
 
 // Escrow is what one home knows of a program's budget. A home hands out what
-// it was granted in the store, and at most one turn more while the grant for
-// that is on its way. Grants of other homes count as spent, since a home that
-// is gone can't say how much of them it used.
+// is recorded in the store, what its recorded allowance covers, and at most
+// one turn more while the record of that is on its way. Allowances of other
+// homes count as spent, since a home that is gone can't say how much of them
+// it used. So a program gets at most its budget and one turn.
 type Escrow struct {
 	// Budget is the most that the program may generate, in tokens.
 	Budget int64
-	// Granted is the sum of the recorded grants to all homes. Granted >= Own.
-	Granted int64
-	// Own is the part of Granted that was granted to this home.
-	Own int64
-	// Spent counts what this home's ended turns generated.
-	Spent int64
-	// Reserved counts the most that this home's turns under way generate.
-	Reserved int64
+	// Settled counts what ended turns generated.
+	Settled int64
+	// Held counts the most that turns under way generate.
+	Held int64
+	// Foreign is the sum of the allowances of other homes.
+	Foreign int64
+	// Allowance is what this home may hand out before it is recorded.
+	Allowance int64
+	// Unrecorded is the part of Settled and Held that the store does not have.
+	Unrecorded int64
 }
 
-// aheadTurns is how many turns a grant covers beyond the ones reserved, so that
-// most turns need no grant of their own.
-const aheadTurns = 2
+// allowanceShare is the part of a budget, as a divisor, that a home may hand
+// out unrecorded: it is lost to the program when the home dies, and lasts a
+// program with a large budget some turns while the store is away.
+const allowanceShare = 6
 
-// Ahead says that the cost is reserved while its grant is on its way.
-type Ahead struct {
-	// Grant is the amount to ask for.
-	Grant int64
+// AllowanceOf returns the allowance of one home of a program.
+func AllowanceOf(budget int64) int64 { return budget / allowanceShare }
+
+// Held says that the most of a turn is held for it.
+type Held struct {
+	// Record says that the hold has to be recorded at once.
+	Record bool
 }
 
-func (Ahead) verdict() {}
+// Behind says that earlier holds have to be recorded first.
+type Behind struct{}
+
+func (Held) verdict()   {}
+func (Behind) verdict() {}
 
 // Left returns what the budget covers beyond all that was or may be spent.
-func (e Escrow) Left() int64 {
-	return e.Budget - (e.Granted - e.Own) - e.Spent - e.Reserved
-}
+func (e Escrow) Left() int64 { return e.Budget - e.Settled - e.Held - e.Foreign }
 
-// WithReserved returns the account with the most of one turn reserved, where it
-// is covered. Short asks for a grant before the turn may run.
-func (e Escrow) WithReserved(most int64) (Escrow, Verdict) {
-	if most < 0 || most > e.Left() {
+// WithHold returns the account with the most of one turn held, where it is
+// covered.
+func (e Escrow) WithHold(most int64) (Escrow, Verdict) {
+	switch {
+	case most < 0 || most > e.Left():
 		return e, Exceeded{Left: e.Left()}
+	case e.Unrecorded > e.Allowance:
+		return e, Behind{}
 	}
-	before := e.Spent + e.Reserved
-	need := before + most
-	if need <= e.Own {
-		e.Reserved += most
-		return e, Reserved{}
-	}
-	grant := min(need+aheadTurns*most, e.Budget-(e.Granted-e.Own)) - e.Own
-	if before > e.Own {
-		return e, Short{Ceiling: e.Own + grant}
-	}
-	e.Reserved += most
-	return e, Ahead{Grant: grant}
+	e.Held += most
+	e.Unrecorded += most
+	return e, Held{Record: e.Unrecorded > e.Allowance}
 }
 
-// WithSettled returns the account after a turn that reserved its most has
-// generated part of it.
-func (e Escrow) WithSettled(reserved, generated int64) Escrow {
-	e.Reserved -= reserved
-	e.Spent += min(reserved, max(0, generated))
-	return e
-}
-
-// WithGrant returns the account after a recorded grant to this home.
-func (e Escrow) WithGrant(amount int64) Escrow {
-	e.Granted += amount
-	e.Own += amount
+// WithSettled returns the account after a turn has generated part of its most.
+func (e Escrow) WithSettled(most, generated int64, recorded bool) Escrow {
+	generated = min(most, max(0, generated))
+	e.Held -= most
+	e.Settled += generated
+	if !recorded {
+		e.Unrecorded += generated - most
+	}
 	return e
 }
 
-// WithRecorded returns the account after a record of another home.
-func (e Escrow) WithRecorded(granted int64) Escrow {
-	e.Granted = max(e.Own, granted)
+// WithRecorded returns the account after an amount has got into the store.
+func (e Escrow) WithRecorded(amount int64) Escrow {
+	e.Unrecorded -= amount
 	return e
 }
-
-// Unused returns what this home was granted and has neither spent nor reserved.
-func (e Escrow) Unused() int64 { return max(0, e.Own-e.Spent-e.Reserved) }
--- a/entry.go
+++ b/entry.go
@@ -123,6 +123,7 @@
 		Partitions:  c.Shards,
 		RecordBytes: c.RecordBytes,
 		Home:        e.navigator.IsHome,
+		Stored:      e.relayer.Available,
 		Search:      e.navigator.Search,
 		Counters:    &e.counters,
 		Logger:      e.config.Logger,
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -70,7 +70,7 @@
 
 // whole ends a stream that was passed on to its end.
 func (e *exchange) whole(ctx context.Context, t *turn) Outcome {
-	if !t.kind.Retain || t.holder == "" {
+	if !t.kind.Retain || !t.held {
 		e.settle(t)
 		return Answered{Status: http.StatusOK}
 	}
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -15,6 +15,8 @@
 	// retryHome is when to ask again while the home of a program is not
 	// reached: a take-over has ended by then.
 	retryHome = 300 * time.Millisecond
+	// retryStore is when to ask again while the store is away.
+	retryStore = time.Second
 	// settleBudget bounds the settling of a turn that has ended.
 	settleBudget = 5 * time.Second
 )
@@ -24,9 +26,8 @@
 	kind descriptor.Stream
 	// input is what the caller sent.
 	input []byte
-	// holder is the incarnation that holds the reservation; empty where there
-	// is none.
-	holder string
+	// held says that a home holds budget for the turn.
+	held bool
 	// generated counts what was passed on to the caller, in tokens.
 	generated int64
 	// output is the data of each event, each followed by a line feed.
@@ -49,6 +50,7 @@
 		Budget:    e.request.Budget,
 		Most:      e.request.Most,
 		Cached:    cached,
+		Retain:    t.kind.Retain,
 		Retention: t.kind.Retention.Milliseconds(),
 	}
 	if retain {
@@ -64,7 +66,7 @@
 	if o := refusedBegin(reply, e.request); o != nil {
 		return o
 	}
-	t.holder = reply.GetHolder()
+	t.held = true
 	e.held = reply.GetUpstream()
 	e.config.Counters.Reached(counter.StageGranted)
 	if !retain {
@@ -89,8 +91,8 @@
 	case messenger.BeginReply_MISSING:
 		return refuse(refuser.New(refuser.Turn, "no turn %q is kept", r.Previous))
 	default:
-		return refuse(refuser.New(refuser.Log, "the program's home can't read its records: %s", reply.GetDetail()).
-			WithRetry(retryHome))
+		return refuse(refuser.New(refuser.Log, "the program's home can't use its records: %s", reply.GetDetail()).
+			WithRetry(retryStore))
 	}
 }
 
@@ -101,7 +103,6 @@
 		Program:   e.request.Program,
 		Session:   e.request.Session,
 		Turn:      e.request.ID,
-		Holder:    t.holder,
 		Generated: t.generated,
 		Upstream:  e.upstream.ID,
 	}
@@ -109,7 +110,7 @@
 
 // settle ends a turn that is not recorded, in the background.
 func (e *exchange) settle(t *turn) {
-	if t.holder == "" {
+	if !t.held {
 		return
 	}
 	r := e.endRequest(t)
--- a/keeper/account.go
+++ b/keeper/account.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"context"
 	"time"
 
 	"github.com/citronpier/citronpier/budgeter"
@@ -9,97 +8,188 @@
 	"github.com/citronpier/citronpier/recorder"
 )
 
-// shardKept is how long a shard that has another home is held for stragglers.
-const shardKept = 20 * time.Second
+// account is a program's budget and the turns that hold a part of it.
+type account struct {
+	escrow budgeter.Escrow
+	turns  map[string]*hold
+	// allowances has those of other homes, by their incarnation.
+	allowances map[string]int64
+	// asked is the allowance that this home has asked for.
+	asked     int64
+	retention time.Duration
+	used      time.Time
+}
 
-// reserve takes the most of a turn out of its program's budget.
-func (k *Keeper) reserve(ctx context.Context, s *shard, r *messenger.BeginRequest, now time.Time) *messenger.BeginReply {
-	for {
-		verdict, pending, err := s.tryReserve(r, now)
-		if err != nil {
-			return uncertain(err)
+// hold is the part of a budget that is held for one turn.
+type hold struct {
+	most int64
+	// generated is set once the turn has ended.
+	generated int64
+	ended     bool
+	// recorded says that the store has the hold.
+	recorded bool
+	// change is the hold's record on its way; nil where none is.
+	change *change
+}
+
+// heldElsewhere applies another home's hold.
+func (a *account) heldElsewhere(turn string, most int64) {
+	if _, ok := a.turns[turn]; ok {
+		return
+	}
+	a.turns[turn] = &hold{most: most, recorded: true}
+	a.escrow.Held += most
+}
+
+// settledElsewhere applies another home's settlement. A turn without a hold was
+// covered by that home's allowance, which counts as spent; what the record says
+// is counted besides it.
+func (a *account) settledElsewhere(turn string, generated int64) {
+	h, ok := a.turns[turn]
+	if !ok {
+		a.escrow.Settled += generated
+		return
+	}
+	delete(a.turns, turn)
+	if !h.ended {
+		a.escrow = a.escrow.WithSettled(h.most, generated, h.recorded)
+	}
+	if !h.recorded {
+		a.escrow = a.escrow.WithRecorded(min(h.most, generated))
+	}
+}
+
+// allowedElsewhere applies another home's allowance.
+func (a *account) allowedElsewhere(writer string, amount int64) {
+	if a.allowances == nil {
+		a.allowances = make(map[string]int64)
+	}
+	a.escrow.Foreign += amount - a.allowances[writer]
+	a.allowances[writer] = amount
+}
+
+// recorded applies a change of this home that got into the store.
+func (a *account) recorded(c *change) {
+	switch k := c.kind.(type) {
+	case holdChange:
+		h, ok := a.turns[k.turn]
+		if !ok || h.recorded {
+			return
 		}
-		switch v := verdict.(type) {
-		case budgeter.Exceeded:
-			k.config.Logger.Info().Str("program", r.GetProgram()).Str("id", r.GetTurn()).Int64("left", v.Left).
-				Int64("most", r.GetMost()).Int64("budget", r.GetBudget()).Msg("budget exceeded")
-			return &messenger.BeginReply{Verdict: messenger.BeginReply_EXCEEDED}
-		case budgeter.Short:
-			select {
-			case <-pending.done:
-			case <-ctx.Done():
-				return uncertain(ctx.Err())
-			}
-		default:
-			return &messenger.BeginReply{Verdict: messenger.BeginReply_RESERVED, Holder: k.config.Incarnation}
+		h.recorded = true
+		h.change = nil
+		amount := h.most
+		if h.ended {
+			amount = h.generated
 		}
+		a.escrow = a.escrow.WithRecorded(amount)
+	case turnChange:
+		a.settleRecorded(k.turn.GetId())
+	case settleChange:
+		a.settleRecorded(k.turn)
+	case allowanceChange:
+		a.escrow.Allowance = k.amount
 	}
 }
 
-// tryReserve reserves where that is possible at once. With Short it returns
-// the grant to wait for.
-func (s *shard) tryReserve(r *messenger.BeginRequest, now time.Time) (budgeter.Verdict, *change, error) {
+func (a *account) settleRecorded(turn string) {
+	h, ok := a.turns[turn]
+	if !ok {
+		return
+	}
+	delete(a.turns, turn)
+	if !h.recorded {
+		a.escrow = a.escrow.WithRecorded(h.generated)
+	}
+}
+
+// end settles a turn in memory. It reports whether the turn was under way.
+func (a *account) end(turn string, generated int64) bool {
+	h, ok := a.turns[turn]
+	if !ok || h.ended {
+		return false
+	}
+	h.ended = true
+	h.generated = min(h.most, max(0, generated))
+	a.escrow = a.escrow.WithSettled(h.most, h.generated, h.recorded)
+	return true
+}
+
+// hold holds the most of a turn, where the budget covers it. With Behind it
+// returns a change to wait for.
+func (s *shard) hold(r *messenger.BeginRequest, now time.Time) (budgeter.Verdict, *change, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(r.GetProgram(), time.Duration(r.GetRetention())*time.Millisecond, now)
 	a.escrow.Budget = r.GetBudget()
 	if _, ok := a.turns[r.GetTurn()]; ok {
-		return budgeter.Reserved{}, nil, nil
+		return budgeter.Held{}, nil, nil
 	}
-	escrow, verdict := a.escrow.WithReserved(r.GetMost())
-	grant := int64(0)
+	escrow, verdict := a.escrow.WithHold(r.GetMost())
 	switch v := verdict.(type) {
-	case budgeter.Exceeded:
-		return v, nil, nil
-	case budgeter.Short:
-		grant = v.Ceiling - a.escrow.Own
-	case budgeter.Ahead:
-		grant = v.Grant
-	}
-	if grant > 0 {
-		if err := s.grant(a, r.GetProgram(), grant); err != nil {
-			return nil, nil, err
-		}
-	}
-	if _, short := verdict.(budgeter.Short); !short {
+	case budgeter.Behind:
+		pending, err := s.recordHolds(r.GetProgram(), a)
+		return v, pending, err
+	case budgeter.Held:
 		a.escrow = escrow
-		a.turns[r.GetTurn()] = r.GetMost()
+		a.turns[r.GetTurn()] = &hold{most: r.GetMost()}
+		if v.Record {
+			_, err := s.recordHolds(r.GetProgram(), a)
+			return v, nil, err
+		}
 	}
-	return verdict, a.granting, nil
+	return verdict, nil, nil
 }
 
-// grant asks for a grant, unless one is on its way.
-func (s *shard) grant(a *account, program string, amount int64) error {
-	if a.granting != nil {
-		return nil
-	}
-	c := &change{program: program, grant: amount, done: make(chan struct{})}
-	if err := s.submit(c); err != nil {
-		return err
-	}
-	a.granting = c
-	go func() {
-		<-c.done
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		a.granting = nil
-	}()
-	return nil
+// recordHolds has the holds of an account recorded and returns one of the
+// changes. It needs mu to be held.
+func (s *shard) recordHolds(program string, a *account) (*change, error) {
+	var last *change
+	for turn, h := range a.turns {
+		if h.recorded || h.ended {
+			continue
+		}
+		if h.change == nil {
+			h.change = newChange(program, holdChange{turn: turn, most: h.most, retention: a.retention})
+			if err := s.submit(h.change); err != nil {
+				h.change = nil
+				return nil, err
+			}
+		}
+		last = h.change
+	}
+	if want := budgeter.AllowanceOf(a.escrow.Budget); a.asked != want {
+		c := newChange(program, allowanceChange{amount: want})
+		if err := s.submit(c); err != nil {
+			return nil, err
+		}
+		a.asked = want
+		last = c
+	}
+	if last == nil {
+		// Only ended turns are unrecorded: their settlements are on the way.
+		last = s.flush()
+	}
+	return last, nil
 }
 
-// settle ends a turn's reservation.
+// settle ends a turn in memory and has it recorded with the next append.
 func (s *shard) settle(r *messenger.EndRequest, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.see(r, now)
 	a, ok := s.accounts[r.GetProgram()]
 	if !ok {
 		return
 	}
 	a.used = now
-	if most, ok := a.turns[r.GetTurn()]; ok {
-		delete(a.turns, r.GetTurn())
-		a.escrow = a.escrow.WithSettled(most, r.GetGenerated())
+	if a.end(r.GetTurn(), r.GetGenerated()) && !r.GetRetain() {
+		s.lazy = append(s.lazy, newChange(r.GetProgram(), settleChange{turn: r.GetTurn(), generated: r.GetGenerated()}))
 	}
+}
+
+// see notes the upstream that served a session.
+func (s *shard) see(r *messenger.EndRequest, now time.Time) {
 	if r.GetUpstream() == "" {
 		return
 	}
@@ -116,70 +206,37 @@
 	return s.upstreams[session].upstream
 }
 
-// adopt keeps a chain of another shard until a turn that continues it is
-// recorded here with it.
-func (s *shard) adopt(turn string, chain []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.imported == nil {
-		s.imported = make(map[string][]byte)
-	}
-	s.imported[turn] = chain
-}
-
-// record appends a turn and returns once it is in the store.
-func (s *shard) record(ctx context.Context, r *messenger.EndRequest, _ time.Time) error {
-	c := &change{
-		turn: &recorder.Turn{
-			Id:        r.GetTurn(),
-			Previous:  r.GetPrevious(),
-			Input:     r.GetInput(),
-			Output:    r.GetOutput(),
-			Retention: r.GetRetention(),
-			Program:   r.GetProgram(),
-			Session:   r.GetSession(),
-		},
-		done: make(chan struct{}),
-	}
-	s.mu.Lock()
-	known := s.tree.Has(r.GetTurn())
-	var err error
-	if !known {
-		err = s.submit(c)
-	}
-	s.mu.Unlock()
-	if known || err != nil {
-		return err
-	}
-	select {
-	case <-c.done:
-		return c.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// release gives back what this home was granted and has not used.
+// release gives back the allowances of this home, and has all holds recorded.
 func (s *shard) release() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for program, a := range s.accounts {
-		unused := a.escrow.Unused()
-		if unused == 0 || a.granting != nil {
+		if a.asked == 0 {
 			continue
 		}
-		// What is given back is no longer handed out, whenever the record gets in.
-		a.escrow.Own -= unused
-		c := &change{program: program, grant: -unused, returned: true, done: make(chan struct{})}
-		if err := s.submit(c); err != nil {
-			s.logger.Warn().Err(err).Str("program", program).Msg("grant not given back")
+		a.asked = 0
+		// It is no longer used, whenever the record gets in.
+		a.escrow.Allowance = 0
+		_, err := s.recordHolds(program, a)
+		if err == nil {
+			err = s.submit(newChange(program, allowanceChange{}))
+		}
+		if err != nil {
+			s.logger.Warn().Err(err).Str("program", program).Msg("allowance not given back")
 		}
 	}
 }
 
-// idle reports whether the shard may be dropped.
-func (s *shard) idle(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Sub(s.used) > shardKept && !s.writing && len(s.queue) == 0
+// turnRecord returns the record of a turn that was answered whole.
+func turnRecord(r *messenger.EndRequest) *recorder.Turn {
+	return &recorder.Turn{
+		Id:        r.GetTurn(),
+		Previous:  r.GetPrevious(),
+		Input:     r.GetInput(),
+		Output:    r.GetOutput(),
+		Retention: r.GetRetention(),
+		Program:   r.GetProgram(),
+		Session:   r.GetSession(),
+		Generated: r.GetGenerated(),
+	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -10,8 +10,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/budgeter"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
+	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/messenger"
 )
 
@@ -37,6 +39,8 @@
 	RecordBytes int
 	// Home reports whether this host is home of a shard as far as it knows.
 	Home func(shard int, now time.Time) bool
+	// Stored reports whether the store is reached, by any way.
+	Stored func(now time.Time) bool
 	// Search looks for a turn in shards of which other hosts are home. It
 	// reports whether all of them were searched.
 	Search   func(ctx context.Context, turn string, shards []int) (chain []byte, found, certain bool)
@@ -105,6 +109,9 @@
 	if !ok {
 		return &messenger.BeginReply{Verdict: messenger.BeginReply_ELSEWHERE}
 	}
+	if needsStore := r.GetRetain() || !s.isLoaded(); needsStore && !k.awaitStore(ctx, now) {
+		return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the store is away"}
+	}
 	if err := s.load(ctx); err != nil {
 		return uncertain(err)
 	}
@@ -120,6 +127,69 @@
 	return reply
 }
 
+const (
+	// storeWait is how long a turn waits for a store that is away: short
+	// outages cost it less than coming again.
+	storeWait = 800 * time.Millisecond
+	// storeStep is the time between looks.
+	storeStep = 25 * time.Millisecond
+	// recordWait is how long a turn waits for the records of earlier ones.
+	recordWait = 800 * time.Millisecond
+)
+
+// awaitStore reports whether the store is reached, and waits for it for a time.
+func (k *Keeper) awaitStore(ctx context.Context, now time.Time) bool {
+	until := now.Add(storeWait)
+	for ; now.Before(until) && ctx.Err() == nil; now = time.Now() {
+		if k.config.Stored(now) {
+			return true
+		}
+		waiter.Sleep(ctx, storeStep)
+	}
+	return false
+}
+
+// reserve holds the most of a turn in its program's budget.
+func (k *Keeper) reserve(ctx context.Context, s *shard, r *messenger.BeginRequest, now time.Time) *messenger.BeginReply {
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	for {
+		verdict, pending, err := s.hold(r, now)
+		if err != nil {
+			return uncertain(err)
+		}
+		switch v := verdict.(type) {
+		case budgeter.Exceeded:
+			k.config.Logger.Info().Str("program", r.GetProgram()).Str("id", r.GetTurn()).Int64("left", v.Left).
+				Int64("most", r.GetMost()).Int64("budget", r.GetBudget()).Msg("budget exceeded")
+			return &messenger.BeginReply{Verdict: messenger.BeginReply_EXCEEDED}
+		case budgeter.Behind:
+			if !k.await(ctx, pending) {
+				return &messenger.BeginReply{
+					Verdict: messenger.BeginReply_UNCERTAIN, Detail: "earlier turns of the program are not recorded yet",
+				}
+			}
+		default:
+			return &messenger.BeginReply{Verdict: messenger.BeginReply_RESERVED}
+		}
+	}
+}
+
+// await reports whether a change got into the store. Where there is none, it
+// waits for a short time.
+func (k *Keeper) await(ctx context.Context, c *change) bool {
+	if c == nil {
+		waiter.Sleep(ctx, firstPause)
+		return ctx.Err() == nil
+	}
+	select {
+	case <-c.done:
+		return c.err == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func uncertain(err error) *messenger.BeginReply {
 	return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: err.Error()}
 }
@@ -195,26 +265,74 @@
 	if !ok {
 		return &messenger.EndReply{Elsewhere: true}, nil
 	}
-	if r.GetHolder() == k.config.Incarnation {
-		s.settle(r, now)
-	}
+	s.settle(r, now)
 	if !r.GetRetain() {
 		return &messenger.EndReply{}, nil
 	}
 	if err := s.load(ctx); err != nil {
 		return nil, err
 	}
-	if err := s.record(ctx, r, now); err != nil {
+	if err := s.record(ctx, r); err != nil {
 		return nil, err
 	}
 	return &messenger.EndReply{Recorded: true}, nil
 }
 
-// Tick drops what is no longer kept, and gives back grants of shards that have
-// another home now.
+// record appends a turn and returns once it is in the store.
+func (s *shard) record(ctx context.Context, r *messenger.EndRequest) error {
+	c := newChange(r.GetProgram(), turnChange{turn: turnRecord(r)})
+	s.mu.Lock()
+	known := s.tree.Has(r.GetTurn())
+	var err error
+	if !known {
+		err = s.submit(c)
+	}
+	s.mu.Unlock()
+	if known || err != nil {
+		return err
+	}
+	select {
+	case <-c.done:
+		return c.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// adopt keeps a chain of another shard until a turn that continues it is
+// recorded here with it.
+func (s *shard) adopt(turn string, chain []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.imported == nil {
+		s.imported = make(map[string][]byte)
+	}
+	s.imported[turn] = chain
+}
+
+// settleLazily has settlements that no append has taken along written.
+func (s *shard) settleLazily() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flush()
+}
+
+// idle reports whether the shard may be dropped.
+func (s *shard) idle(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.used) > shardKept && !s.writing && len(s.queue) == 0
+}
+
+// shardKept is how long a shard that has another home is held for stragglers.
+const shardKept = 20 * time.Second
+
+// Tick drops what is no longer kept, and gives back the allowances of shards
+// that have another home now.
 func (k *Keeper) Tick(now time.Time) {
 	for id, s := range k.held() {
 		s.prune(now)
+		s.settleLazily()
 		if k.config.Home(id, now) {
 			continue
 		}
@@ -227,7 +345,7 @@
 	}
 }
 
-// Release gives back the grants that no turn uses, before a planned stop.
+// Release gives back the allowances before a planned stop.
 func (k *Keeper) Release() {
 	for _, s := range k.held() {
 		s.release()
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -9,7 +9,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/citronpier/citronpier/budgeter"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/historian"
 	"github.com/citronpier/citronpier/recorder"
@@ -38,70 +37,47 @@
 	// imported has chains of other shards that turns here continue.
 	imported map[string][]byte
 	queue    []*change
-	writing  bool
+	// lazy are changes that go with the next append.
+	lazy    []*change
+	writing bool
 	// used is when a request last needed the shard.
 	used time.Time
 }
 
-// account is a program's budget and the turns that hold a part of it.
-type account struct {
-	escrow budgeter.Escrow
-	// turns has what each turn under way reserved.
-	turns map[string]int64
-	// granting is the grant on its way, if any.
-	granting  *change
-	retention time.Duration
-	used      time.Time
-}
-
 // sighting is the upstream that served a session.
 type sighting struct {
 	upstream string
 	seen     time.Time
 }
 
-// change is a record on its way to the store: a turn or a grant.
-type change struct {
-	turn *recorder.Turn
-	// program and grant are set for a grant.
-	program string
-	grant   int64
-	// returned says that a negative grant was taken off the account before.
-	returned bool
-	// done is closed once err is set.
-	done chan struct{}
-	err  error
-}
-
-func (c *change) finish(err error) {
-	c.err = err
-	close(c.done)
-}
-
 // load reads the partition to its end, unless that was done before.
 func (s *shard) load(ctx context.Context) error {
-	s.mu.Lock()
-	loaded := s.loaded
-	s.mu.Unlock()
-	if loaded {
+	if s.isLoaded() {
 		return nil
 	}
 	s.reading.Lock()
 	defer s.reading.Unlock()
+	if s.isLoaded() {
+		return nil
+	}
 	began := time.Now()
 	if err := s.catchUp(ctx, nil); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.loaded {
-		s.loaded = true
-		s.logger.Info().Int64("end", s.end).Int("turns", s.tree.Len()).Int("programs", len(s.accounts)).
-			Dur("took_ms", time.Since(began)).Msg("shard loaded")
-	}
+	s.loaded = true
+	s.logger.Info().Int64("end", s.end).Int("turns", s.tree.Len()).Int("programs", len(s.accounts)).
+		Dur("took_ms", time.Since(began)).Msg("shard loaded")
 	return nil
 }
 
+func (s *shard) isLoaded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded
+}
+
 // refresh reads what others have appended since the shard was last read.
 func (s *shard) refresh(ctx context.Context) error {
 	s.reading.Lock()
@@ -164,28 +140,34 @@
 	}
 }
 
+// applyForeign applies a batch of another home.
 func (s *shard) applyForeign(b *recorder.ShardBatch, now time.Time) {
+	for _, h := range b.GetHolds() {
+		s.account(h.GetProgram(), time.Duration(h.GetRetention())*time.Millisecond, now).
+			heldElsewhere(h.GetTurn(), h.GetMost())
+	}
 	for _, t := range b.GetTurns() {
 		s.addTurn(t, now)
+		if t.GetProgram() != "" {
+			s.account(t.GetProgram(), 0, now).settledElsewhere(t.GetId(), t.GetGenerated())
+		}
 	}
-	for _, e := range b.GetEscrows() {
-		a := s.account(e.GetProgram(), time.Duration(e.GetRetention())*time.Millisecond, now)
-		a.escrow = a.escrow.WithRecorded(e.GetGranted())
+	for _, e := range b.GetSettlements() {
+		s.account(e.GetProgram(), 0, now).settledElsewhere(e.GetTurn(), e.GetGenerated())
+	}
+	for _, a := range b.GetAllowances() {
+		s.account(a.GetProgram(), 0, now).allowedElsewhere(b.GetWriter(), a.GetAmount())
 	}
 }
 
+// applyOwn applies a batch of this home after it got into the store.
 func (s *shard) applyOwn(b *batch, now time.Time) {
 	for _, t := range b.message.GetTurns() {
 		s.addTurn(t, now)
 	}
 	for _, c := range b.changes {
-		if c.turn == nil {
-			a := s.account(c.program, 0, now)
-			if c.returned {
-				a.escrow.Granted += c.grant
-				continue
-			}
-			a.escrow = a.escrow.WithGrant(c.grant)
+		if a, ok := s.accounts[c.program]; ok {
+			a.recorded(c)
 		}
 	}
 }
@@ -204,7 +186,7 @@
 func (s *shard) account(program string, retention time.Duration, now time.Time) *account {
 	a, ok := s.accounts[program]
 	if !ok {
-		a = &account{turns: make(map[string]int64)}
+		a = &account{turns: make(map[string]*hold)}
 		if s.accounts == nil {
 			s.accounts = make(map[string]*account)
 		}
@@ -232,7 +214,7 @@
 	defer s.mu.Unlock()
 	s.tree.Prune(now)
 	for program, a := range s.accounts {
-		if len(a.turns) == 0 && a.granting == nil && now.Sub(a.used) > accountMargin*a.retention {
+		if now.Sub(a.used) > accountMargin*max(a.retention, leastRetention) {
 			delete(s.accounts, program)
 		}
 	}
@@ -241,12 +223,20 @@
 			delete(s.upstreams, session)
 		}
 	}
+	if len(s.imported) > importedKept {
+		clear(s.imported)
+	}
 }
 
 const (
 	// accountMargin is how many retention times an account is kept unused: a
 	// stopped program may come back within one.
 	accountMargin = 2
+	// leastRetention is that of an account whose retention is not known.
+	leastRetention = time.Minute
 	// sessionKept is how long the upstream of a session's last turn is of use.
 	sessionKept = 30 * time.Second
+	// importedKept bounds the chains of other shards. A turn that loses its
+	// chain here finds it again where it came from.
+	importedKept = 256
 )
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -39,11 +39,29 @@
 		return &FullError{Shard: s.partition.String(), Waiting: len(s.queue)}
 	}
 	s.queue = append(s.queue, c)
+	s.begin()
+	return nil
+}
+
+// begin has the queue written. It needs mu to be held.
+func (s *shard) begin() {
 	if !s.writing {
 		s.writing = true
 		go s.write()
 	}
-	return nil
+}
+
+// flush has the lazy changes written at once and returns the last one, nil
+// where there is none. It needs mu to be held.
+func (s *shard) flush() *change {
+	if len(s.lazy) == 0 {
+		return nil
+	}
+	last := s.lazy[len(s.lazy)-1]
+	s.queue = append(s.queue, s.lazy...)
+	s.lazy = nil
+	s.begin()
+	return last
 }
 
 // write appends queued changes until there are none.
@@ -68,13 +86,14 @@
 	}
 }
 
-// take removes the changes of the next batch from the queue.
+// take removes the changes of the next batch from the queue, the lazy ones
+// with them.
 func (s *shard) take() []*change {
+	s.queue = append(s.queue, s.lazy...)
+	s.lazy = nil
 	size, n := 0, 0
 	for n < len(s.queue) && (n == 0 || size < groupBytes) {
-		if t := s.queue[n].turn; t != nil {
-			size += len(t.GetInput()) + len(t.GetOutput())
-		}
+		size += s.queue[n].size()
 		n++
 	}
 	taken := s.queue[:n:n]
@@ -105,19 +124,8 @@
 	defer s.mu.Unlock()
 	b = &batch{sequence: s.keeper.sequence.Add(1), changes: changes}
 	b.message = &recorder.ShardBatch{Writer: s.keeper.config.Incarnation, Sequence: b.sequence}
-	granted := make(map[string]int64)
 	for _, c := range changes {
-		if c.turn != nil {
-			s.buildTurn(b.message, c.turn)
-			continue
-		}
-		a := s.account(c.program, 0, time.Now())
-		granted[c.program] += c.grant
-		b.message.Escrows = append(b.message.Escrows, &recorder.Escrow{
-			Program:   c.program,
-			Granted:   a.escrow.Granted + granted[c.program],
-			Retention: a.retention.Milliseconds(),
-		})
+		c.addTo(b.message, s)
 	}
 	b.records, err = encode(b.message, s.keeper.config.RecordBytes)
 	return b, s.end, err
--- a/navigator/navigator.go
+++ b/navigator/navigator.go
@@ -20,8 +20,8 @@
 
 const (
 	// beginTimeout bounds one try of a Begin: a home that has just taken over
-	// reads its shard first.
-	beginTimeout = time.Second
+	// reads its shard first, and one may wait for the store.
+	beginTimeout = 3 * time.Second
 	// settleTimeout bounds one try of an End that records nothing.
 	settleTimeout = 500 * time.Millisecond
 	// suspicion is how long a host that failed a call is avoided.
@@ -159,13 +159,14 @@
 		var elsewhere bool
 		limited, cancel := n.whileLive(ctx, h.ID, timeout)
 		reply, elsewhere, last = call(limited, n.config.Open(h), try > 0)
-		cancel()
 		switch {
 		case last == nil && !elsewhere:
+			cancel()
 			return reply, nil
-		case last != nil && ctx.Err() == nil:
+		case last != nil && ctx.Err() == nil && !n.vouched(h.ID, limited):
 			n.suspect(h.ID, last, time.Now())
 		}
+		cancel()
 	}
 	if last == nil {
 		last = ctx.Err()
@@ -179,6 +180,19 @@
 // Error describes the failure.
 func (e *GoneError) Error() string { return "host " + e.Host + " fell silent" }
 
+// TardyError says that a host that is heard of did not answer in time.
+type TardyError struct{ Host string }
+
+// Error describes the failure.
+func (e *TardyError) Error() string { return "host " + e.Host + " did not answer in time" }
+
+// vouched reports whether a host whose call failed is merely slow: its
+// heartbeats come, and another home would have to read the shard first.
+func (n *Navigator) vouched(host string, call context.Context) bool {
+	var tardy *TardyError
+	return errors.As(context.Cause(call), &tardy) && n.config.Live(host, time.Now())
+}
+
 // whileLive returns a context that ends when the host is no longer heard of or
 // a time is over; 0 is no bound.
 func (n *Navigator) whileLive(ctx context.Context, host string, timeout time.Duration) (context.Context, context.CancelFunc) {
@@ -198,7 +212,7 @@
 			case <-ctx.Done():
 				return
 			case <-expired:
-				cancel(&GoneError{Host: host})
+				cancel(&TardyError{Host: host})
 				return
 			case now := <-tick.C:
 				if !n.config.Live(host, now) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -72,6 +72,12 @@
 	return r.failed.IsZero() && now.Sub(r.reached) < freshness
 }
 
+// Available reports whether the store has answered of late, this host or one
+// that it can relay through.
+func (r *Relayer) Available(now time.Time) bool {
+	return r.Reaches(now) || len(r.config.Relays(now)) > 0
+}
+
 // tryDirect reports whether a call should go to the store itself.
 func (r *Relayer) tryDirect(relays int, now time.Time) bool {
 	r.mu.Lock()
