--- /dev/null
+++ b/budgeter/escrow_test.go
@@ -0,0 +1,78 @@
+package budgeter_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/citronpier/citronpier/budgeter"
+)
+
+func TestEscrowVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		escrow budgeter.Escrow
+		most   int64
+		want   budgeter.Verdict
+	}{
+		{"first turn goes before its record", budgeter.Escrow{Budget: 1728}, 576, budgeter.Held{Record: true}},
+		{"within the allowance", budgeter.Escrow{Budget: 4608, Allowance: 768}, 576, budgeter.Held{}},
+		{"beyond the allowance", budgeter.Escrow{Budget: 4608, Allowance: 768, Held: 576, Unrecorded: 576}, 576, budgeter.Held{Record: true}},
+		{"earlier turns are not recorded", budgeter.Escrow{Budget: 4608, Allowance: 768, Held: 1152, Unrecorded: 1152}, 576, budgeter.Behind{}},
+		{"budget is spent", budgeter.Escrow{Budget: 1728, Settled: 1200}, 576, budgeter.Exceeded{Left: 528}},
+		{"turns under way count at their most", budgeter.Escrow{Budget: 1728, Held: 1152, Settled: 1}, 576, budgeter.Exceeded{Left: 575}},
+		{"allowances of other homes count as spent", budgeter.Escrow{Budget: 1728, Foreign: 1153}, 576, budgeter.Exceeded{Left: 575}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, got := c.escrow.WithHold(c.most)
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("verdict (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Over any order of turns, records and deaths of the home, a program is handed
+// at most its budget and one turn for each death with an unrecorded turn.
+func TestEscrowNeverExceeds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 10
+		budget := rapid.Int64Range(most, 20*most).Draw(t, "budget")
+		e := budgeter.Escrow{Budget: budget}
+		handed, slack := int64(0), int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				next, verdict := e.WithHold(most)
+				if _, ok := verdict.(budgeter.Held); !ok {
+					continue
+				}
+				e = next
+				generated := rapid.Int64Range(0, most).Draw(t, "generated")
+				handed += generated
+				e = e.WithSettled(most, generated, false)
+			case 2:
+				e = e.WithRecorded(e.Unrecorded)
+			case 3:
+				e.Allowance = budgeter.AllowanceOf(budget)
+			case 4:
+				// The home dies. The next one knows the records, and counts the
+				// allowance as spent.
+				lost := e.Unrecorded
+				slack += max(0, lost-e.Allowance)
+				e = budgeter.Escrow{
+					Budget: budget, Settled: e.Settled - lost, Foreign: e.Foreign + e.Allowance,
+				}
+			}
+			if handed > budget+slack {
+				t.Fatalf("handed out %d of %d, slack %d", handed, budget, slack)
+			}
+			if slack > 0 && lostMore(e, most) {
+				t.Fatalf("more than one turn beyond the allowance is unrecorded: %+v", e)
+			}
+		}
+	})
+}
+
+func lostMore(e budgeter.Escrow, most int64) bool { return e.Unrecorded > e.Allowance+most }
--- a/cmd/citronpierd/platform.go
+++ b/cmd/citronpierd/platform.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -15,9 +12,6 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/urfave/cli/v3"
 
-	"github.com/citronpier/citronpier"
-	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/platform"
 )
 
@@ -49,12 +43,6 @@
 	}
 }
 
-// codec joins the platform's record and header formats.
-type codec struct {
-	platform.Decoder
-	platform.Codec
-}
-
 func servePlatform(ctx context.Context, path string, s platform.Settings) error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
@@ -69,57 +57,8 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory * memoryShare / 100)
 	}
-	beats, err := net.ListenPacket("udp4", s.Peers)
-	if err != nil {
-		return fmt.Errorf("listen for heartbeats: %w", err)
-	}
-	entry := citronpier.NewEntry(citronpier.EntryConfig{
-		Host: descriptor.Host{
-			ID: s.Peers, Peer: s.Peers, Caller: s.Callers, DataCentre: s.DataCentre,
-		},
-		Seeds:          s.Seeds,
-		Store:          platform.NewStore(s.Store, exchanger.NewDial(exchanger.UnackedUpstream)),
-		Shards:         s.Shards(),
-		RecordBytes:    s.RecordBytes,
-		Codec:          codec{},
-		Configurations: platform.Configurations,
-		Upstreams:      platform.Upstreams,
-		Hosts:          platform.Hosts,
-		Beats:          beats,
-		Grace:          s.Grace,
-		Logger:         logger,
-	})
-	endpoints, err := listen(entry, s)
-	if err != nil {
-		return err
-	}
-	logger.Info().Str("name", s.Name).Str("callers", s.Callers).Str("peers", s.Peers).Str("datacentre", s.DataCentre).
-		Int64("memory", s.Memory).Str("store", s.Store).Msg("started")
 	go followSettings(ctx, path, hangup, logger)
-	return entry.Run(ctx, endpoints...)
-}
-
-// listen opens the addresses that a host serves.
-func listen(entry *citronpier.Entry, s platform.Settings) ([]citronpier.Endpoint, error) {
-	var endpoints []citronpier.Endpoint
-	for _, e := range []struct {
-		address string
-		handler http.Handler
-		callers bool
-	}{
-		{s.Callers, platform.Front{Server: entry}, true},
-		{s.Ready, platform.NewReadiness(entry), false},
-		{s.Directory, platform.NewDirectory(entry), false},
-		{s.Peers, entry.PeerHandler(), false},
-		{s.Metrics, entry.MetricsHandler(), false},
-	} {
-		l, err := net.Listen("tcp4", e.address)
-		if err != nil {
-			return nil, fmt.Errorf("listen at %s: %w", e.address, err)
-		}
-		endpoints = append(endpoints, citronpier.Endpoint{Listener: l, Handler: e.handler, Callers: e.callers})
-	}
-	return endpoints, nil
+	return platform.Serve(ctx, s, logger)
 }
 
 // followSettings checks the settings file after a signal and from time to
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -39,6 +39,48 @@
 	c.pool.closed(c.key)
 }
 
+// writing is the write of one request.
+type writing struct {
+	ended chan struct{}
+	// bytes and err are set once ended is closed.
+	bytes int
+	err   error
+}
+
+// wait returns the write once it has ended.
+func (w *writing) wait() *writing {
+	<-w.ended
+	return w
+}
+
+// unsent reports whether the write failed before the system took a byte.
+func (w *writing) unsent() bool { return w.err != nil && w.bytes == 0 }
+
+// done reports whether the write has ended.
+func (w *writing) done() bool {
+	select {
+	case <-w.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// start begins to write a request.
+func (c *conn) start(r descriptor.Request, h http.Header) *writing {
+	w := &writing{ended: make(chan struct{})}
+	if len(r.Body) <= eagerBody {
+		w.bytes, w.err = c.write(r, h)
+		close(w.ended)
+		return w
+	}
+	go func() {
+		defer close(w.ended)
+		w.bytes, w.err = c.write(r, h)
+	}()
+	return w
+}
+
 // write writes a request and returns how many bytes the system took.
 func (c *conn) write(r descriptor.Request, h http.Header) (int, error) {
 	head := make([]byte, 0, 1024)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -136,21 +135,29 @@
 
 func (e *Exchanger) exchange(c *conn, u descriptor.Upstream, d Dispatch) (*Answer, error) {
 	c.unfinished = true
-	written, err := c.write(d.Request, e.codec.Header(d, u))
-	if err != nil && written == 0 && !isTimeout(err) {
-		return nil, &UnsentError{Upstream: u.ID, Cause: err}
+	writing := c.start(d.Request, e.codec.Header(d, u))
+	if len(d.Request.Body) <= eagerBody {
+		if w := writing.wait(); w.unsent() {
+			return nil, &UnsentError{Upstream: u.ID, Cause: w.err}
+		}
 	}
 	// A write that failed half way may still be answered: upstreams refuse
 	// long bodies early.
-	response, readErr := e.await(c, d.Request)
-	if readErr != nil {
-		return nil, &BrokenError{Upstream: u.ID, Cause: errors.Join(err, readErr)}
+	response, err := e.await(c, d.Request)
+	if err != nil {
+		c.interrupt()
+		w := writing.wait()
+		if w.unsent() {
+			return nil, &UnsentError{Upstream: u.ID, Cause: w.err}
+		}
+		return nil, &BrokenError{Upstream: u.ID, Cause: errors.Join(w.err, err)}
 	}
+	whole := writing.done() && writing.wait().err == nil
 	if e.codec.NotRun(response.StatusCode, response.Header) {
-		c.unfinished = c.skipped || err != nil || response.Close || discard(response) != nil
+		c.unfinished = c.skipped || !whole || response.Close || discard(response) != nil
 		return nil, &NotRunError{Upstream: u.ID, Status: response.StatusCode}
 	}
-	c.unfinished = c.skipped || err != nil || response.Close
+	c.unfinished = c.skipped || !whole || response.Close
 	return &Answer{
 		Status:  response.StatusCode,
 		Header:  response.Header,
@@ -163,6 +170,10 @@
 	}, nil
 }
 
+// eagerBody is the size in bytes up to which a body fits into the system's
+// buffers, so that it is written before the answer is read.
+const eagerBody = 8 << 10
+
 // await reads answers until the one to the request. An upstream may send a
 // surplus answer to an earlier request first; the echoed id tells them apart.
 func (e *Exchanger) await(c *conn, r descriptor.Request) (*http.Response, error) {
@@ -195,5 +206,3 @@
 
 // Error describes the failure.
 func (e *ForeignError) Error() string { return "answer belongs to request " + e.Echo }
-
-func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,320 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/exchanger"
+)
+
+// codec spells the headers of the test's upstreams.
+type codec struct{}
+
+func (codec) Header(d exchanger.Dispatch, _ descriptor.Upstream) http.Header {
+	return http.Header{"Id": {d.Request.ID}}
+}
+func (codec) Echo(h http.Header) string             { return h.Get("Id") }
+func (codec) NotRun(status int, h http.Header) bool { return h.Get("Not-Run") != "" || status == 421 }
+func (codec) Genuine(h http.Header) bool            { return true }
+
+// upstream is a server that answers by script.
+type upstream struct {
+	listener net.Listener
+	// requests counts the requests that arrived whole.
+	requests atomic.Int64
+	// connections counts the connections.
+	connections atomic.Int64
+}
+
+// serve starts an upstream. The script gets each request of a connection, by
+// its number from 0, and reports whether the connection goes on.
+func serve(t *testing.T, script func(c net.Conn, r *http.Request, number int) bool) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			go u.handle(c, script)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) handle(c net.Conn, script func(c net.Conn, r *http.Request, number int) bool) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for number := 0; ; number++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !script(c, r, number) {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		u.requests.Add(1)
+	}
+}
+
+func (u *upstream) descriptor() descriptor.Upstream {
+	return descriptor.Upstream{ID: "u", Address: u.listener.Addr().String()}
+}
+
+func reply(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func reset(c net.Conn) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+func dispatch(id, method string) exchanger.Dispatch {
+	d := exchanger.Dispatch{Request: descriptor.Request{ID: id, Method: method, Target: "/x?y=1", Host: "h"}}
+	if method == http.MethodPost {
+		d.Request.Body = []byte("body of " + id)
+	}
+	return d
+}
+
+// send sends one request and returns the body, or the type of the failure.
+func send(t *testing.T, e *exchanger.Exchanger, u *upstream, d exchanger.Dispatch) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	answer, err := e.Send(ctx, u.descriptor(), d, time.Now())
+	if err != nil {
+		return kind(err)
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	if err != nil {
+		return kind(err)
+	}
+	return string(body)
+}
+
+func kind(err error) string {
+	var unsent *exchanger.UnsentError
+	var notRun *exchanger.NotRunError
+	var broken *exchanger.BrokenError
+	switch {
+	case errors.As(err, &unsent):
+		return "unsent"
+	case errors.As(err, &notRun):
+		return "not run"
+	case errors.As(err, &broken):
+		return "broken"
+	default:
+		return err.Error()
+	}
+}
+
+func newExchanger() *exchanger.Exchanger {
+	return exchanger.New(codec{}, exchanger.NewDial(exchanger.UnackedUpstream))
+}
+
+// A request on a reused connection that the upstream resets is not sent again,
+// whatever its method.
+func TestReusedConnectionIsResetOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			var arrived atomic.Int64
+			u := serve(t, func(c net.Conn, r *http.Request, number int) bool {
+				arrived.Add(1)
+				if number == 1 {
+					return reset(c)
+				}
+				reply(c, r.Header.Get("Id"), "ok")
+				return true
+			})
+			e := newExchanger()
+			got := []string{send(t, e, u, dispatch("1", method)), send(t, e, u, dispatch("2", method))}
+			if diff := cmp.Diff([]string{"ok", "broken"}, got); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(int64(2), arrived.Load()); diff != "" {
+				t.Errorf("requests that arrived (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script func(c net.Conn, id string) bool
+		want   []string
+		// connections is how many the requests use in all.
+		connections int64
+	}{
+		{"whole", func(c net.Conn, id string) bool {
+			reply(c, id, "ok")
+			return true
+		}, []string{"ok", "ok"}, 1},
+		{"cut short", func(c net.Conn, id string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\nok", id)
+			return false
+		}, []string{"broken", "broken"}, 2},
+		{"chunks cut short", func(c net.Conn, id string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", id)
+			return false
+		}, []string{"broken", "broken"}, 2},
+		{"ended by its connection", func(c net.Conn, id string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nok", id)
+			return false
+		}, []string{"ok", "ok"}, 2},
+		{"reset on the way", func(c net.Conn, id string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nok", id)
+			time.Sleep(20 * time.Millisecond)
+			return reset(c)
+		}, []string{"broken", "broken"}, 2},
+		{"no answer in the protocol", func(c net.Conn, _ string) bool {
+			_, _ = io.WriteString(c, "!!\r\n\r\n")
+			return false
+		}, []string{"broken", "broken"}, 2},
+		{"surplus answer after the first", func(c net.Conn, id string) bool {
+			reply(c, id, "ok")
+			if id == "1" {
+				reply(c, id, "again")
+			}
+			return true
+		}, []string{"ok", "ok"}, 2},
+		{"surplus answer where the next is due", func(c net.Conn, id string) bool {
+			if id == "2" {
+				reply(c, "1", "late")
+			}
+			reply(c, id, "ok")
+			return true
+		}, []string{"ok", "ok"}, 1},
+		{"answers to others only", func(c net.Conn, _ string) bool {
+			for range 5 {
+				reply(c, "other", "no")
+			}
+			return true
+		}, []string{"broken", "broken"}, 2},
+		{"not run", func(c net.Conn, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, []string{"not run", "not run"}, 1},
+		{"another incarnation", func(c net.Conn, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 421 No\r\nContent-Length: 2\r\n\r\nno")
+			return true
+		}, []string{"not run", "not run"}, 1},
+		{"closing", func(c net.Conn, id string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", id)
+			return true
+		}, []string{"ok", "ok"}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := serve(t, func(conn net.Conn, r *http.Request, _ int) bool { return c.script(conn, r.Header.Get("Id")) })
+			e := newExchanger()
+			var got []string
+			for _, id := range []string{"1", "2"} {
+				got = append(got, send(t, e, u, dispatch(id, http.MethodPost)))
+				// What the upstream sends besides arrives before the next request.
+				time.Sleep(10 * time.Millisecond)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.connections, u.connections.Load()); diff != "" {
+				t.Errorf("connections (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// An upstream may answer before it has read a long body. The answer is passed
+// on, and the connection does not carry another request.
+func TestEarlyAnswer(t *testing.T) {
+	stop := make(chan struct{})
+	u := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		reply(c, r.Header.Get("Id"), "early")
+		<-stop
+		return false
+	})
+	defer close(stop)
+	e := newExchanger()
+	d := dispatch("1", http.MethodPost)
+	d.Request.Body = []byte(strings.Repeat("x", 32<<20))
+	got := []string{send(t, e, u, d)}
+	got = append(got, send(t, e, u, dispatch("2", http.MethodPost)))
+	if diff := cmp.Diff([]string{"early", "early"}, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int64(2), u.connections.Load()); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
+
+// No byte of a request to an address that nobody listens at has left.
+func TestUnsent(t *testing.T) {
+	u := serve(t, func(net.Conn, *http.Request, int) bool { return false })
+	_ = u.listener.Close()
+	if diff := cmp.Diff("unsent", send(t, newExchanger(), u, dispatch("1", http.MethodPost))); diff != "" {
+		t.Errorf("failure (-want +got):\n%s", diff)
+	}
+}
+
+// The connections of one incarnation of an upstream are not used for the next.
+func TestIncarnationsShareNoConnection(t *testing.T) {
+	u := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		reply(c, r.Header.Get("Id"), "ok")
+		return true
+	})
+	e := newExchanger()
+	for born := range int64(2) {
+		target := u.descriptor()
+		target.Born = born
+		answer, err := e.Send(t.Context(), target, dispatch("1", http.MethodGet), time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer)
+		answer.Close()
+	}
+	if diff := cmp.Diff(int64(2), u.connections.Load()); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
+
+func TestLimit(t *testing.T) {
+	hold := make(chan struct{})
+	u := serve(t, func(_ net.Conn, _ *http.Request, _ int) bool {
+		<-hold
+		return false
+	})
+	defer close(hold)
+	e := newExchanger().WithLimit(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _, _ = e.Send(ctx, u.descriptor(), dispatch("1", http.MethodGet), time.Now()) }()
+	for u.connections.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if diff := cmp.Diff("unsent", send(t, e, u, dispatch("2", http.MethodGet))); diff != "" {
+		t.Errorf("failure (-want +got):\n%s", diff)
+	}
+	cancel()
+}
