--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -208,6 +208,13 @@
 	return descriptor.Request{ID: "id", Method: http.MethodPost, Host: "h", Path: "/a/x", Target: "/a/x", Body: []byte("new")}
 }
 
+// seen returns the requests that arrived, and their bodies.
+func (w *world) seen() (arrived, bodies []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.arrived, w.bodies
+}
+
 // serve returns what the caller got, in one word and the body.
 func (w *world) serve(t *testing.T, r descriptor.Request) (outcome, body string) {
 	t.Helper()
@@ -265,7 +272,8 @@
 			}
 			w.start(t, c.kind, c.attempts, upstreams...)
 			outcome, body := w.serve(t, request())
-			got := []any{outcome, body, w.arrived}
+			arrived, _ := w.seen()
+			got := []any{outcome, body, arrived}
 			if diff := cmp.Diff([]any{c.outcome, c.body, c.arrived}, got); diff != "" {
 				t.Errorf("outcome, body, arrivals (-want +got):\n%s", diff)
 			}
@@ -291,7 +299,8 @@
 	if diff := cmp.Diff("200", outcome); diff != "" {
 		t.Errorf("outcome (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff([]string{"old\nnew"}, w.bodies); diff != "" {
+	_, bodies := w.seen()
+	if diff := cmp.Diff([]string{"old\nnew"}, bodies); diff != "" {
 		t.Errorf("body at the upstream (-want +got):\n%s", diff)
 	}
 	end := w.homes.ended[0]
@@ -324,8 +333,9 @@
 			w.homes.verdict = verdict
 			w.start(t, retained(), 1, w.upstream(t, "u", events(0)))
 			outcome, _ := w.serve(t, turnRequest())
-			if diff := cmp.Diff(want, outcome); diff != "" || len(w.arrived) > 0 {
-				t.Errorf("%d arrived, outcome (-want +got):\n%s", len(w.arrived), diff)
+			arrived, _ := w.seen()
+			if diff := cmp.Diff(want, outcome); diff != "" || len(arrived) > 0 {
+				t.Errorf("%d arrived, outcome (-want +got):\n%s", len(arrived), diff)
 			}
 		})
 	}
@@ -354,8 +364,9 @@
 	cancel()
 	var s sink
 	o := w.forwarder.Serve(ctx, request(), &s, time.Now())
-	if r, ok := o.(forwarder.Refused); !ok || r.Refusal.Reason != refuser.Gone || len(w.arrived) > 0 {
-		t.Errorf("outcome %v, arrived %v", o, w.arrived)
+	arrived, _ := w.seen()
+	if r, ok := o.(forwarder.Refused); !ok || r.Refusal.Reason != refuser.Gone || len(arrived) > 0 {
+		t.Errorf("outcome %v, arrived %v", o, arrived)
 	}
 }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -218,9 +218,7 @@
 		return connector.Records{}, nil, &connector.TrimmedError{Partition: p, First: part.first}
 	}
 	page := connector.Records{First: part.first, End: part.end()}
-	for _, r := range part.records[min(from-part.first, int64(len(part.records))):] {
-		page.Values = append(page.Values, r)
-	}
+	page.Values = append(page.Values, part.records[min(from-part.first, int64(len(part.records))):]...)
 	return page, part.grown, nil
 }
 
