Give allowances back once, and only to programs that can use them

Allowances of dead homes also took 288 of a chat's 1,728 tokens each, though a retained turn can't end without the store. Change: release submits holds without renewing the allowance; retained turns work without one. TestReleaseIsDoneOnce and TestWaitForStore fail before. TestUnknownTurnsCountAtTheirMost now holds ten homes of a tenth each to the exact bound, in place of eight and their allowances.

--- a/cmd/citronpierd/platform.go
+++ b/cmd/citronpierd/platform.go
@@ -53,7 +53,7 @@
 	})
 	defer func() { _ = writer.Close() }()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	logger = zerolog.New(writer).With().Timestamp().Logger()
+	logger = zerolog.New(writer).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory * memoryShare / 100)
 	}
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -51,6 +51,7 @@
 		Most:      e.request.Most,
 		Cached:    cached,
 		Retain:    t.kind.Retain,
+		Left:      e.left(time.Now()).Milliseconds(),
 		Retention: t.kind.Retention.Milliseconds(),
 	}
 	if retain {
--- a/keeper/account.go
+++ b/keeper/account.go
@@ -14,7 +14,9 @@
 	turns  map[string]*hold
 	// allowances has those of other homes, by their incarnation.
 	allowances map[string]int64
-	// asked is the allowance that this home has asked for.
+	// wanted is the allowance that this home works with, and asked the one that
+	// it has asked for.
+	wanted    int64
 	asked     int64
 	retention time.Duration
 	used      time.Time
@@ -122,6 +124,12 @@
 	defer s.mu.Unlock()
 	a := s.account(r.GetProgram(), time.Duration(r.GetRetention())*time.Millisecond, now)
 	a.escrow.Budget = r.GetBudget()
+	a.wanted = 0
+	if !r.GetRetain() {
+		// A retained turn does not end without the store, so that an allowance
+		// would only be lost with the home.
+		a.wanted = budgeter.AllowanceOf(r.GetBudget())
+	}
 	if _, ok := a.turns[r.GetTurn()]; ok {
 		return budgeter.Held{}, nil, nil
 	}
@@ -141,9 +149,30 @@
 	return verdict, nil, nil
 }
 
-// recordHolds has the holds of an account recorded and returns one of the
-// changes. It needs mu to be held.
+// recordHolds has the holds of an account recorded, and its allowance renewed.
+// It returns one of the changes. It needs mu to be held.
 func (s *shard) recordHolds(program string, a *account) (*change, error) {
+	last, err := s.submitHolds(program, a)
+	if err != nil {
+		return nil, err
+	}
+	if a.asked != a.wanted {
+		last = newChange(program, allowanceChange{amount: a.wanted})
+		if err := s.submit(last); err != nil {
+			return nil, err
+		}
+		a.asked = a.wanted
+	}
+	if last == nil {
+		// Only ended turns are unrecorded: their settlements are on the way.
+		last = s.flush()
+	}
+	return last, nil
+}
+
+// submitHolds has the holds of an account recorded. It returns one of the
+// changes, nil where there is none. It needs mu to be held.
+func (s *shard) submitHolds(program string, a *account) (*change, error) {
 	var last *change
 	for turn, h := range a.turns {
 		if h.recorded || h.ended {
@@ -158,18 +187,6 @@
 		}
 		last = h.change
 	}
-	if want := budgeter.AllowanceOf(a.escrow.Budget); a.asked != want {
-		c := newChange(program, allowanceChange{amount: want})
-		if err := s.submit(c); err != nil {
-			return nil, err
-		}
-		a.asked = want
-		last = c
-	}
-	if last == nil {
-		// Only ended turns are unrecorded: their settlements are on the way.
-		last = s.flush()
-	}
 	return last, nil
 }
 
@@ -217,7 +234,7 @@
 		a.asked = 0
 		// It is no longer used, whenever the record gets in.
 		a.escrow.Allowance = 0
-		_, err := s.recordHolds(program, a)
+		_, err := s.submitHolds(program, a)
 		if err == nil {
 			err = s.submit(newChange(program, allowanceChange{}))
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -109,7 +109,7 @@
 	if !ok {
 		return &messenger.BeginReply{Verdict: messenger.BeginReply_ELSEWHERE}
 	}
-	if needsStore := r.GetRetain() || !s.isLoaded(); needsStore && !k.awaitStore(ctx, now) {
+	if needsStore := r.GetRetain() || !s.isLoaded(); needsStore && !k.awaitStore(ctx, r, now) {
 		return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the store is away"}
 	}
 	if err := s.load(ctx); err != nil {
@@ -135,23 +135,43 @@
 	storeStep = 25 * time.Millisecond
 	// recordWait is how long a turn waits for the records of earlier ones.
 	recordWait = 800 * time.Millisecond
+	// leastRecord is how long a turn waits for them in any case: an append and
+	// some.
+	leastRecord = 50 * time.Millisecond
+	// waitShare is the part of a turn's time, as a divisor, that it may wait:
+	// the rest is needed to run it, or to come again.
+	waitShare = 4
+	// leastTime is the time that a turn needs to run at all.
+	leastTime = 400 * time.Millisecond
 )
 
+// patience returns how long a turn may wait for what would let it run.
+func patience(r *messenger.BeginRequest, most time.Duration) time.Duration {
+	left := time.Duration(r.GetLeft()) * time.Millisecond
+	if left < leastTime {
+		return 0
+	}
+	return min(most, left/waitShare)
+}
+
 // awaitStore reports whether the store is reached, and waits for it for a time.
-func (k *Keeper) awaitStore(ctx context.Context, now time.Time) bool {
-	until := now.Add(storeWait)
-	for ; now.Before(until) && ctx.Err() == nil; now = time.Now() {
+func (k *Keeper) awaitStore(ctx context.Context, r *messenger.BeginRequest, now time.Time) bool {
+	until := now.Add(patience(r, storeWait))
+	for {
 		if k.config.Stored(now) {
 			return true
 		}
+		if !now.Before(until) || ctx.Err() != nil {
+			return false
+		}
 		waiter.Sleep(ctx, storeStep)
+		now = time.Now()
 	}
-	return false
 }
 
 // reserve holds the most of a turn in its program's budget.
 func (k *Keeper) reserve(ctx context.Context, s *shard, r *messenger.BeginRequest, now time.Time) *messenger.BeginReply {
-	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	ctx, cancel := context.WithTimeout(ctx, max(leastRecord, patience(r, recordWait)))
 	defer cancel()
 	for {
 		verdict, pending, err := s.hold(r, now)
