--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -46,6 +46,8 @@
 	tried map[string]bool
 	// held is the upstream that served the session's last turn.
 	held string
+	// generated counts the tokens that were passed on to the caller.
+	generated int64
 	// firstByte is when the answer began.
 	firstByte time.Time
 }
@@ -56,6 +58,9 @@
 	if e.request.Program != "" {
 		event = event.Str("program", e.request.Program).Str("session", e.request.Session)
 	}
+	if e.request.Budget > 0 {
+		event = event.Int64("budget", e.request.Budget).Int64("most", e.request.Most).Int64("generated", e.generated)
+	}
 	if e.upstream.ID != "" {
 		event = event.Str("upstream", e.upstream.ID).Int64("listed", e.upstream.Beat)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -133,7 +133,7 @@
 			*last = parsed.id
 		}
 		if parsed.counted {
-			t.generated += e.service.TokensPerEvent
+			e.generated += e.service.TokensPerEvent
 			if t.kind.Retain {
 				t.output = append(append(t.output, parsed.data...), '\n')
 			}
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -28,8 +28,6 @@
 	input []byte
 	// held says that a home holds budget for the turn.
 	held bool
-	// generated counts what was passed on to the caller, in tokens.
-	generated int64
 	// output is the data of each event, each followed by a line feed.
 	output []byte
 }
@@ -104,7 +102,7 @@
 		Program:   e.request.Program,
 		Session:   e.request.Session,
 		Turn:      e.request.ID,
-		Generated: t.generated,
+		Generated: e.generated,
 		Upstream:  e.upstream.ID,
 	}
 }
