Let homes hand out a third of a budget unrecorded, and wait longer for the store

Change: allowance of a third, at most half of what is left; a turn waits for the store a third of its time, 1.2 s at most.

--- a/budgeter/escrow.go
+++ b/budgeter/escrow.go
@@ -21,12 +21,19 @@
 }
 
 // allowanceShare is the part of a budget, as a divisor, that a home may hand
-// out unrecorded: it is lost to the program when the home dies, and lasts a
-// program with a large budget some turns while the store is away.
-const allowanceShare = 6
+// out unrecorded: it lasts a program some turns while the store is away, and is
+// lost to it when the home dies. Programs use a quarter of their budgets, one in
+// ten more than two fifths.
+const allowanceShare = 3
 
-// AllowanceOf returns the allowance of one home of a program.
-func AllowanceOf(budget int64) int64 { return budget / allowanceShare }
+// leftShare is the part of what is left, as a divisor, that an allowance takes
+// at most, so that no death of a home ends a program.
+const leftShare = 2
+
+// WantedAllowance returns the allowance that a home asks for.
+func (e Escrow) WantedAllowance() int64 {
+	return max(0, min(e.Budget/allowanceShare, e.Left()/leftShare))
+}
 
 // Held says that the most of a turn is held for it.
 type Held struct {
--- a/keeper/account.go
+++ b/keeper/account.go
@@ -14,9 +14,7 @@
 	turns  map[string]*hold
 	// allowances has those of other homes, by their incarnation.
 	allowances map[string]int64
-	// wanted is the allowance that this home works with, and asked the one that
-	// it has asked for.
-	wanted    int64
+	// asked is the allowance that this home has asked for.
 	asked     int64
 	retention time.Duration
 	used      time.Time
@@ -124,12 +122,6 @@
 	defer s.mu.Unlock()
 	a := s.account(r.GetProgram(), time.Duration(r.GetRetention())*time.Millisecond, now)
 	a.escrow.Budget = r.GetBudget()
-	a.wanted = 0
-	if !r.GetRetain() {
-		// A retained turn does not end without the store, so that an allowance
-		// would only be lost with the home.
-		a.wanted = budgeter.AllowanceOf(r.GetBudget())
-	}
 	if _, ok := a.turns[r.GetTurn()]; ok {
 		return budgeter.Held{}, nil, nil
 	}
@@ -149,19 +141,19 @@
 	return verdict, nil, nil
 }
 
-// recordHolds has the holds of an account recorded, and its allowance renewed.
+// recordHolds has the holds of an account recorded, and asks for an allowance.
 // It returns one of the changes. It needs mu to be held.
 func (s *shard) recordHolds(program string, a *account) (*change, error) {
 	last, err := s.submitHolds(program, a)
 	if err != nil {
 		return nil, err
 	}
-	if a.asked != a.wanted {
-		last = newChange(program, allowanceChange{amount: a.wanted})
+	if want := a.escrow.WantedAllowance(); a.asked == 0 && want > 0 {
+		last = newChange(program, allowanceChange{amount: want})
 		if err := s.submit(last); err != nil {
 			return nil, err
 		}
-		a.asked = a.wanted
+		a.asked = want
 	}
 	if last == nil {
 		// Only ended turns are unrecorded: their settlements are on the way.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -130,17 +130,17 @@
 const (
 	// storeWait is how long a turn waits for a store that is away: short
 	// outages cost it less than coming again.
-	storeWait = 800 * time.Millisecond
+	storeWait = 1200 * time.Millisecond
 	// storeStep is the time between looks.
 	storeStep = 25 * time.Millisecond
 	// recordWait is how long a turn waits for the records of earlier ones.
-	recordWait = 800 * time.Millisecond
+	recordWait = 1200 * time.Millisecond
 	// leastRecord is how long a turn waits for them in any case: an append and
 	// some.
 	leastRecord = 50 * time.Millisecond
 	// waitShare is the part of a turn's time, as a divisor, that it may wait:
 	// the rest is needed to run it, or to come again.
-	waitShare = 4
+	waitShare = 3
 	// leastTime is the time that a turn needs to run at all.
 	leastTime = 400 * time.Millisecond
 )
