--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -195,6 +195,9 @@
 		return parser.Kind{}, refuser.New(refuser.Rules, "no rule file is in force").WithRetry(time.Second)
 	}
 	kind, ok := rules.Kind(name)
+	if !ok && name == "" {
+		return parser.Kind{}, refuser.New(refuser.Kind, "the program names no kind and no rule names the kind %q", parser.DefaultKind)
+	}
 	if !ok {
 		return parser.Kind{}, refuser.New(refuser.Kind, "no rule names the kind %q", name)
 	}
--- a/coordinator/model.go
+++ b/coordinator/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/tidwall/sjson"
@@ -123,12 +124,22 @@
 }
 
 func (g *generation) noUpstream() error {
-	for _, u := range g.coordinator.config.View().Members().Upstreams {
-		if u.Serves(g.req.GetModel()) {
-			return refuser.New(refuser.Upstream, "no upstream can run model %q now", g.req.GetModel()).WithRetry(time.Second)
-		}
+	model := g.req.GetModel()
+	if g.coordinator.listed(model) {
+		return refuser.New(refuser.Upstream, "no upstream can run model %q now", model).WithRetry(time.Second)
 	}
-	return refuser.New(refuser.Model, "no upstream serves model %q", g.req.GetModel())
+	return unlisted(model)
+}
+
+// listed reports whether an upstream lists a model, leaving ones included.
+func (c *Coordinator) listed(model string) bool {
+	return slices.ContainsFunc(c.config.View().Members().Upstreams, func(u descriptor.Upstream) bool {
+		return u.Serves(model)
+	})
+}
+
+func unlisted(model string) error {
+	return refuser.New(refuser.Model, "no upstream serves model %q", model)
 }
 
 // choose returns the upstream for the next attempt.
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -125,6 +125,9 @@
 		return nil
 	}
 	c := r.coordinator
+	if r.req.GetService() == "" && !c.listed(r.req.GetModel()) {
+		return unlisted(r.req.GetModel())
+	}
 	kind, err := c.kind(r.req.GetKind())
 	if err != nil {
 		return err
--- a/launcher/openai_test.go
+++ b/launcher/openai_test.go
@@ -22,7 +22,7 @@
 	f, err := launcher.Start(launcher.Config{
 		Network: launcher.Loopback(), DataCentres: []string{"kochi", "thrissur"}, Hosts: 3, Engines: 3,
 		Engine: standin.EngineConfig{Slots: 4, Step: time.Millisecond, CacheTokens: 100_000},
-		Model:  model, Services: []string{"timer"}, Rules: examples.Demo + "kind default budget 4000 # Anil: tools we did not write\n",
+		Model:  model, Services: []string{"timer"}, Rules: examples.Demo,
 	})
 	if err != nil {
 		t.Fatal(err)
