--- a/entry.go
+++ b/entry.go
@@ -36,7 +36,8 @@
 	Join(key string, value []byte) []byte
 }
 
-// EntryConfig is what an Entry is made of. All fields but Grace are needed.
+// EntryConfig is what an Entry is made of. All fields but Dial and Grace are
+// needed.
 type EntryConfig struct {
 	// Host has the peer address as its ID.
 	Host descriptor.Host
@@ -55,6 +56,8 @@
 	Hosts          connector.Partition
 	// Beats sends and receives heartbeats at the peer address.
 	Beats net.PacketConn
+	// Dial opens connections to upstreams and other hosts; nil is the usual way.
+	Dial exchanger.Dial
 	// Grace is how long a planned stop may take; 0 is the usual time.
 	Grace  time.Duration
 	Logger zerolog.Logger
@@ -128,7 +131,8 @@
 		Counters:    &e.counters,
 		Logger:      e.config.Logger,
 	})
-	e.exchanger = exchanger.New(c.Codec, exchanger.NewDial(exchanger.UnackedUpstream))
+	e.exchanger = exchanger.New(c.Codec, dialOr(c.Dial, exchanger.UnackedUpstream))
+	e.peers.dial = dialOr(c.Dial, exchanger.UnackedPeer)
 	e.forwarder = forwarder.New(forwarder.Config{
 		DataCentre:    c.Host.DataCentre,
 		Shards:        len(c.Shards),
@@ -145,6 +149,14 @@
 	return e
 }
 
+// dialOr returns a Dial, or the usual one where there is none.
+func dialOr(dial exchanger.Dial, unacked time.Duration) exchanger.Dial {
+	if dial != nil {
+		return dial
+	}
+	return exchanger.NewDial(unacked)
+}
+
 // Endpoint is an address that an Entry serves.
 type Endpoint struct {
 	Listener net.Listener
@@ -196,6 +208,8 @@
 			_ = s.Close()
 		}
 		e.end()
+		e.exchanger.Close()
+		e.peers.close()
 		return nil
 	})
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -29,8 +29,10 @@
 	return p.Mirror.Find(ctx, r)
 }
 
-// peerClients holds the clients of other hosts. The zero value has none.
+// peerClients holds the clients of other hosts. dial has to be set.
 type peerClients struct {
+	dial exchanger.Dial
+
 	mu      sync.Mutex
 	http    *http.Client
 	clients map[string]peerClient
@@ -52,7 +54,7 @@
 	}
 	if p.http == nil {
 		p.http = &http.Client{Transport: &http.Transport{
-			DialContext:         exchanger.NewDial(exchanger.UnackedPeer),
+			DialContext:         p.dial,
 			MaxIdleConnsPerHost: peerConnections,
 			IdleConnTimeout:     peerIdle,
 			DisableCompression:  true,
@@ -68,6 +70,15 @@
 	return c
 }
 
+// close closes the idle connections.
+func (p *peerClients) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.http != nil {
+		p.http.CloseIdleConnections()
+	}
+}
+
 // localHome is this host as a home.
 type localHome struct{ keeper *keeper.Keeper }
 
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -143,6 +143,9 @@
 	}
 }
 
+// Close closes the idle connections.
+func (e *Exchanger) Close() { e.Prune(func(string) bool { return false }, time.Time{}) }
+
 func (p *pool) expired(listed func(id string) bool, now time.Time) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standin/link.go
+++ b/standin/link.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // A Link is all of one process's connections. It can be killed, as when the
@@ -138,7 +140,7 @@
 		_ = c.Close()
 		return nil, &net.OpError{Op: "dial", Err: &DeadError{}}
 	}
-	lc := &linkConn{Conn: c, link: l, forgotten: make(chan struct{}), closed: make(chan struct{})}
+	lc := &linkConn{Conn: c, link: l, forgotten: make(chan struct{}), closed: make(chan struct{}), expired: make(chan struct{})}
 	l.conns[lc] = struct{}{}
 	return lc, nil
 }
@@ -178,6 +180,9 @@
 	mu sync.Mutex
 	// held is what was written while the process was paused.
 	held []byte
+	// expired is closed while a read deadline is past, as isExpired says.
+	expired   chan struct{}
+	isExpired bool
 }
 
 func (c *linkConn) forget() { c.forgets.Do(func() { close(c.forgotten) }) }
@@ -217,11 +222,50 @@
 	case <-c.closed:
 		return 0, net.ErrClosed
 	}
-	if c.lost() {
-		<-c.closed
+	if !c.lost() {
+		return n, err
+	}
+	select {
+	case <-c.closed:
 		return 0, net.ErrClosed
+	case <-c.expiry():
+		return 0, os.ErrDeadlineExceeded
 	}
-	return n, err
+}
+
+// SetDeadline ends reads that wait, where the time is past.
+func (c *linkConn) SetDeadline(t time.Time) error {
+	c.expire(t)
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline ends reads that wait, where the time is past.
+func (c *linkConn) SetReadDeadline(t time.Time) error {
+	c.expire(t)
+	return c.Conn.SetReadDeadline(t)
+}
+
+// expire ends the reads of a connection that was lost track of where a deadline
+// is past, and lets new ones wait where there is none.
+func (c *linkConn) expire(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	past := !t.IsZero() && !t.After(time.Now())
+	switch {
+	case past && !c.isExpired:
+		c.isExpired = true
+		close(c.expired)
+	case !past && c.isExpired:
+		c.isExpired = false
+		c.expired = make(chan struct{})
+	}
+}
+
+// expiry returns a channel that is closed once the read deadline is past.
+func (c *linkConn) expiry() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired
 }
 
 // Write sends. While the process is paused, what it writes is held back.
--- a/standin/memory.go
+++ b/standin/memory.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // A Memory is a network within one process. It serves tests that run in a
@@ -13,6 +14,7 @@
 type Memory struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
+	packets   map[string]*MemoryPacket
 }
 
 // Address returns the address of a port.
@@ -175,3 +177,96 @@
 
 // RemoteAddr returns the address that was dialled.
 func (c *memoryConn) RemoteAddr() net.Addr { return memoryAddr(c.address) }
+
+// A MemoryPacket is a datagram socket of a Memory.
+type MemoryPacket struct {
+	network *Memory
+	address string
+	arrived chan datagram
+	closed  chan struct{}
+	once    sync.Once
+	// Cut drops what the socket sends and receives while it returns true; nil
+	// drops nothing.
+	Cut func() bool
+}
+
+// datagram is one datagram and its sender.
+type datagram struct {
+	data []byte
+	from string
+}
+
+// datagramsKept bounds the datagrams that wait for their reader: as with UDP,
+// further ones are lost.
+const datagramsKept = 1024
+
+// ListenPacket opens a datagram socket at an address.
+func (m *Memory) ListenPacket(address string) (*MemoryPacket, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.packets == nil {
+		m.packets = make(map[string]*MemoryPacket)
+	}
+	if _, taken := m.packets[address]; taken {
+		return nil, &net.OpError{Op: "listen", Err: syscall.EADDRINUSE}
+	}
+	p := &MemoryPacket{
+		network: m, address: address, arrived: make(chan datagram, datagramsKept), closed: make(chan struct{}),
+	}
+	m.packets[address] = p
+	return p, nil
+}
+
+func (p *MemoryPacket) cut() bool { return p.Cut != nil && p.Cut() }
+
+// ReadFrom reads one datagram.
+func (p *MemoryPacket) ReadFrom(b []byte) (int, net.Addr, error) {
+	for {
+		select {
+		case d := <-p.arrived:
+			if p.cut() {
+				continue
+			}
+			return copy(b, d.data), memoryAddr(d.from), nil
+		case <-p.closed:
+			return 0, nil, net.ErrClosed
+		}
+	}
+}
+
+// WriteTo sends one datagram. It may get lost.
+func (p *MemoryPacket) WriteTo(b []byte, to net.Addr) (int, error) {
+	if p.cut() {
+		return len(b), nil
+	}
+	p.network.mu.Lock()
+	target := p.network.packets[to.String()]
+	p.network.mu.Unlock()
+	if target == nil {
+		return len(b), nil
+	}
+	select {
+	case target.arrived <- datagram{data: append([]byte(nil), b...), from: p.address}:
+	default:
+	}
+	return len(b), nil
+}
+
+// Close closes the socket.
+func (p *MemoryPacket) Close() error {
+	p.once.Do(func() {
+		close(p.closed)
+		p.network.mu.Lock()
+		defer p.network.mu.Unlock()
+		delete(p.network.packets, p.address)
+	})
+	return nil
+}
+
+// LocalAddr returns the socket's address.
+func (p *MemoryPacket) LocalAddr() net.Addr { return memoryAddr(p.address) }
+
+// SetDeadline, SetReadDeadline and SetWriteDeadline do nothing.
+func (p *MemoryPacket) SetDeadline(time.Time) error      { return nil }
+func (p *MemoryPacket) SetReadDeadline(time.Time) error  { return nil }
+func (p *MemoryPacket) SetWriteDeadline(time.Time) error { return nil }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -105,6 +105,7 @@
 			case <-read.Done():
 			}
 		}()
+		began, before, first := time.Now(), f.next, !f.begun
 		err := f.step(read, configWait)
 		nudged := read.Err() != nil
 		cancel()
@@ -112,7 +113,9 @@
 		if nudged {
 			err = f.step(ctx, 0)
 		}
-		if err != nil {
+		// A read through another host does not wait for a change.
+		early := !first && f.next == before && time.Since(began) < configWait/2
+		if err != nil || early {
 			waiter.Sleep(ctx, failurePause)
 		}
 	}
