--- a/counter/counter.go
+++ b/counter/counter.go
@@ -26,8 +26,8 @@
 	Dropped expvar.Map
 
 	mu sync.Mutex
-	// held holds how long the ends of retained turns waited, in microseconds.
-	held *hdrhistogram.Histogram
+	// times holds what was measured of single requests, in microseconds.
+	times map[Measure]*hdrhistogram.Histogram
 	// latency holds whole-program latency in microseconds, by rank.
 	latency map[descriptor.Rank]*hdrhistogram.Histogram
 }
@@ -92,14 +92,54 @@
 	_ = h.RecordValue(min(highestMicros, max(lowestMicros, latency.Microseconds())))
 }
 
-// Held records how long the end of a retained turn waited for its record.
-func (s *Set) Held(wait time.Duration) {
+// Measure is a time that is measured of single requests.
+type Measure string
+
+// The measures.
+const (
+	MeasureAnswer Measure = "answer" // from arrival to the end of the answer
+	MeasureFirst  Measure = "first"  // from arrival to the first byte of the answer
+	MeasureRefuse Measure = "refuse" // from arrival to a refusal
+	MeasureBegin  Measure = "begin"  // until a program's home has let a turn run
+	MeasureHeld   Measure = "held"   // the end of a retained turn, until its record is in the store
+	MeasureAppend Measure = "append" // an append to the store, repeats included
+)
+
+// Measured records a time.
+func (s *Set) Measured(m Measure, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.times == nil {
+		s.times = make(map[Measure]*hdrhistogram.Histogram)
+	}
+	h, ok := s.times[m]
+	if !ok {
+		h = hdrhistogram.New(lowestMicros, highestMicros, digits)
+		s.times[m] = h
+	}
+	_ = h.RecordValue(min(highestMicros, max(lowestMicros, took.Microseconds()))) // the value is in range
+}
+
+// Times returns what was measured of single requests as an expvar value.
+func (s *Set) Times() expvar.Var {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.held == nil {
-		s.held = hdrhistogram.New(lowestMicros, highestMicros, digits)
+	var times expvar.Map
+	for m, h := range s.times {
+		times.Set(string(m), summary(h))
 	}
-	_ = s.held.RecordValue(min(highestMicros, max(lowestMicros, wait.Microseconds())))
+	return &times
+}
+
+// summary returns a histogram of microseconds as an expvar value.
+func summary(h *hdrhistogram.Histogram) *expvar.Map {
+	var one expvar.Map
+	one.Add("count", h.TotalCount())
+	one.Add("p50_us", h.ValueAtQuantile(50))
+	one.Add("p95_us", h.ValueAtQuantile(95))
+	one.Add("p99_us", h.ValueAtQuantile(99))
+	one.Add("max_us", h.Max())
+	return &one
 }
 
 // Programs returns whole-program latency by rank as an expvar value.
@@ -108,13 +148,7 @@
 	defer s.mu.Unlock()
 	var programs expvar.Map
 	for rank, h := range s.latency {
-		var one expvar.Map
-		one.Add("count", h.TotalCount())
-		one.Add("p50_us", h.ValueAtQuantile(50))
-		one.Add("p95_us", h.ValueAtQuantile(95))
-		one.Add("p99_us", h.ValueAtQuantile(99))
-		one.Add("max_us", h.Max())
-		programs.Set(rank.String(), &one)
+		programs.Set(rank.String(), summary(h))
 	}
 	return &programs
 }
@@ -127,6 +161,7 @@
 	host.Set("stages", &s.Stages)
 	host.Set("dropped", &s.Dropped)
 	host.Set("programs", s.Programs())
+	host.Set("times", s.Times())
 	_, err := fmt.Fprintf(w, "{%s: %s", strconv.Quote("citronpier"), host.String())
 	expvar.Do(func(kv expvar.KeyValue) {
 		if err == nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -127,9 +127,12 @@
 	switch o := outcome.(type) {
 	case Answered:
 		f.config.Counters.Reached(counter.StageAnswered)
+		f.config.Counters.Measured(counter.MeasureAnswer, now.Sub(e.began))
+		f.config.Counters.Measured(counter.MeasureFirst, e.firstByte.Sub(e.began))
 		event = event.Str("outcome", "answered").Int("status", o.Status)
 	case Refused:
 		f.config.Counters.Refused(o.Refusal.Reason)
+		f.config.Counters.Measured(counter.MeasureRefuse, now.Sub(e.began))
 		event = event.Str("outcome", "refused").Str("reason", string(o.Refusal.Reason)).
 			Str("run", string(o.Refusal.Run)).Dur("retry_ms", o.Refusal.Retry).Str("detail", o.Refusal.Message)
 	case Cut:
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -79,7 +79,7 @@
 		e.settle(t)
 		return e.cut(ctx, err)
 	}
-	e.config.Counters.Held(time.Since(held))
+	e.config.Counters.Measured(counter.MeasureHeld, time.Since(held))
 	return Answered{Status: http.StatusOK}
 }
 
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -55,7 +55,9 @@
 	if retain {
 		r.Previous = e.request.Previous
 	}
+	began := time.Now()
 	reply, err := e.config.Homes.Begin(ctx, r)
+	e.config.Counters.Measured(counter.MeasureBegin, time.Since(began))
 	if err != nil {
 		if o := e.ended(ctx); o != nil {
 			return o
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/citronpier/citronpier/connector"
+	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/recorder"
 )
@@ -146,6 +147,8 @@
 // append repeats one append until its fate is known. It is done where the
 // batch is in the partition, and not where another append came first.
 func (s *shard) append(ctx context.Context, b *batch, at int64) (done bool, err error) {
+	began := time.Now()
+	defer func() { s.keeper.config.Counters.Measured(counter.MeasureAppend, time.Since(began)) }()
 	retries := backoff.NewExponentialBackOff()
 	retries.InitialInterval = firstPause
 	retries.MaxInterval = longestPause
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -21,7 +21,6 @@
 var (
 	configurations = connector.Partition{Topic: "configurations"}
 	upstreams      = connector.Partition{Topic: "upstreams"}
-	start          = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 )
 
 // record is a keyed record of the tests.
