Write again what is still kept before the store drops it

Change: homes write turns that are still kept, and sums of what was spent, again after half of the store's retention; a turn may come after those that continue it. TestRecordsOutliveTheStoresRetention and TestLateParent fail before.

--- a/entry.go
+++ b/entry.go
@@ -49,6 +49,8 @@
 	Shards []connector.Partition
 	// RecordBytes is the largest record of the store.
 	RecordBytes int
+	// Retention is how long the store keeps records; 0 is for ever.
+	Retention time.Duration
 	Codec       Codec
 	// Configurations, Upstreams and Hosts are the keyed partitions of those.
 	Configurations connector.Partition
@@ -125,6 +127,7 @@
 		Store:       e.relayer,
 		Partitions:  c.Shards,
 		RecordBytes: c.RecordBytes,
+		Retention:   c.Retention,
 		Home:        e.navigator.IsHome,
 		Stored:      e.relayer.Available,
 		Search:      e.navigator.Search,
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -65,9 +65,10 @@
 
 // Run sends and receives heartbeats until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = g.config.Conn.Close() })
-	defer stop()
-	go g.receive(ctx)
+	var receiving sync.WaitGroup
+	receiving.Go(func() { g.receive(ctx) })
+	defer receiving.Wait()
+	defer func() { _ = g.config.Conn.Close() }()
 	tick := time.NewTicker(beatEvery)
 	defer tick.Stop()
 	for {
--- a/historian/tree.go
+++ b/historian/tree.go
@@ -1,6 +1,9 @@
 package historian
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Turn is one answered turn of a program.
 type Turn struct {
@@ -17,36 +20,65 @@
 // Tree holds turns by their ids. The zero value is empty.
 type Tree struct {
 	nodes map[string]*node
-	bytes int64
+	// awaited has how long turns that are not held are needed by later ones: a
+	// turn that was written again comes after those that continue it.
+	awaited map[string]time.Time
+	bytes   int64
 }
 
 type node struct {
-	turn   Turn
-	parent *node
+	turn Turn
 	// until is when the turn may be dropped. A parent's is not before that of
 	// its children.
 	until time.Time
+	// recorded is when the turn was last written to the store.
+	recorded time.Time
 }
 
-// Add adds a turn, whose chain is then kept as long as the turn. It reports
-// whether the turn is new.
-func (t *Tree) Add(turn Turn, now time.Time) bool {
-	if _, ok := t.nodes[turn.ID]; ok {
+// Add adds a turn that was written to the store some time ago, and whose chain
+// is then kept as long as the turn. It reports whether the turn is new.
+func (t *Tree) Add(turn Turn, age time.Duration, now time.Time) bool {
+	recorded := now.Add(-age)
+	if n, ok := t.nodes[turn.ID]; ok {
+		if n.recorded.Before(recorded) {
+			n.recorded = recorded
+		}
 		return false
 	}
 	if t.nodes == nil {
 		t.nodes = make(map[string]*node)
+		t.awaited = make(map[string]time.Time)
 	}
-	n := &node{turn: turn, parent: t.nodes[turn.Previous]}
+	n := &node{turn: turn, recorded: recorded}
 	t.nodes[turn.ID] = n
 	t.bytes += n.size()
 	until := now.Add(turn.Retention)
-	for a := n; a != nil && a.until.Before(until); a = a.parent {
-		a.until = until
+	if needed := t.awaited[turn.ID]; needed.After(until) {
+		until = needed
 	}
+	delete(t.awaited, turn.ID)
+	t.keep(turn.ID, until)
 	return true
 }
 
+// keep has a turn and all before it kept until a time.
+func (t *Tree) keep(id string, until time.Time) {
+	for id != "" {
+		n, ok := t.nodes[id]
+		if !ok {
+			if t.awaited[id].Before(until) {
+				t.awaited[id] = until
+			}
+			return
+		}
+		if !n.until.Before(until) {
+			return
+		}
+		n.until = until
+		id = n.turn.Previous
+	}
+}
+
 // Has reports whether the tree holds a turn.
 func (t *Tree) Has(id string) bool {
 	_, ok := t.nodes[id]
@@ -58,7 +90,7 @@
 func (t *Tree) Chain(id string) ([]byte, bool) {
 	var path []*node
 	size := int64(0)
-	for n := t.nodes[id]; n != nil; n = n.parent {
+	for n := t.nodes[id]; n != nil; n = t.nodes[n.turn.Previous] {
 		path = append(path, n)
 		size += n.size()
 	}
@@ -73,6 +105,19 @@
 	return text, true
 }
 
+// Due returns the turns that were last written before a time, and takes them as
+// written now.
+func (t *Tree) Due(before, now time.Time) []Turn {
+	var due []Turn
+	for _, n := range t.nodes {
+		if n.recorded.Before(before) {
+			n.recorded = now
+			due = append(due, n.turn)
+		}
+	}
+	return due
+}
+
 // Prune drops the turns whose time is over.
 func (t *Tree) Prune(now time.Time) {
 	for id, n := range t.nodes {
@@ -81,6 +126,7 @@
 			t.bytes -= n.size()
 		}
 	}
+	maps.DeleteFunc(t.awaited, func(_ string, until time.Time) bool { return until.Before(now) })
 }
 
 // Len returns the number of turns held.
--- a/historian/tree_test.go
+++ b/historian/tree_test.go
@@ -21,7 +21,7 @@
 func TestChain(t *testing.T) {
 	var tree historian.Tree
 	for _, n := range []historian.Turn{turn("a", ""), turn("b", "a"), turn("c", "a"), turn("orphan", "unknown")} {
-		tree.Add(n, start)
+		tree.Add(n, 0, start)
 	}
 	for _, c := range []struct {
 		id   string
@@ -43,7 +43,7 @@
 
 func TestAddTwice(t *testing.T) {
 	var tree historian.Tree
-	if !tree.Add(turn("a", ""), start) || tree.Add(turn("a", ""), start) {
+	if !tree.Add(turn("a", ""), 0, start) || tree.Add(turn("a", ""), 0, start) {
 		t.Error("a turn is new once")
 	}
 }
@@ -51,9 +51,9 @@
 // A chain is kept as long as its youngest turn.
 func TestPruneKeepsChains(t *testing.T) {
 	var tree historian.Tree
-	tree.Add(turn("a", ""), start)
-	tree.Add(turn("old", ""), start)
-	tree.Add(turn("b", "a"), start.Add(50*time.Second))
+	tree.Add(turn("a", ""), 0, start)
+	tree.Add(turn("old", ""), 0, start)
+	tree.Add(turn("b", "a"), 0, start.Add(50*time.Second))
 	tree.Prune(start.Add(100 * time.Second))
 	if _, ok := tree.Chain("b"); !ok || tree.Has("old") {
 		t.Errorf("chain of b is kept: %v, old is kept: %v", ok, tree.Has("old"))
@@ -63,3 +63,30 @@
 		t.Errorf("after the retention, %d bytes (-want +got):\n%s", tree.Bytes(), diff)
 	}
 }
+
+// A turn is due once it was last written too long ago.
+func TestDue(t *testing.T) {
+	var tree historian.Tree
+	tree.Add(turn("young", ""), 0, start)
+	tree.Add(turn("old", ""), time.Minute, start)
+	var got []string
+	for _, n := range tree.Due(start.Add(-time.Second), start) {
+		got = append(got, n.ID)
+	}
+	if diff := cmp.Diff([]string{"old"}, got); diff != "" || len(tree.Due(start.Add(-time.Second), start)) > 0 {
+		t.Errorf("due once (-want +got):\n%s", diff)
+	}
+}
+
+// A turn that comes after those that continue it is part of their chain, and is
+// kept as long as they are.
+func TestLateParent(t *testing.T) {
+	var tree historian.Tree
+	tree.Add(turn("b", "a"), 0, start.Add(50*time.Second))
+	tree.Add(turn("a", ""), 0, start)
+	tree.Prune(start.Add(100 * time.Second))
+	got, ok := tree.Chain("b")
+	if diff := cmp.Diff("in-a;out-a\nin-b;out-b\n", string(got)); diff != "" || !ok {
+		t.Errorf("chain, %v (-want +got):\n%s", ok, diff)
+	}
+}
--- a/keeper/account.go
+++ b/keeper/account.go
@@ -18,6 +18,8 @@
 	asked     int64
 	retention time.Duration
 	used      time.Time
+	// renewed is when the sum of settlements was last written.
+	renewed time.Time
 }
 
 // hold is the part of a budget that is held for one turn.
@@ -59,6 +61,10 @@
 	}
 }
 
+// spentElsewhere applies a sum of settlements. The ones that it sums up may have
+// been read as well, or be gone.
+func (a *account) spentElsewhere(settled int64) { a.escrow.Settled = max(a.escrow.Settled, settled) }
+
 // allowedElsewhere applies another home's allowance.
 func (a *account) allowedElsewhere(writer string, amount int64) {
 	if a.allowances == nil {
@@ -236,6 +242,39 @@
 	}
 }
 
+// renew writes what the store would drop before long: turns that are still kept
+// and sums of settlements.
+func (s *shard) renew(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := now.Add(-s.keeper.config.Retention / renewShare)
+	for _, t := range s.tree.Due(before, now) {
+		s.again(newChange("", renewChange{turn: &recorder.Turn{
+			Id: t.ID, Previous: t.Previous, Input: t.Input, Output: t.Output, Retention: t.Retention.Milliseconds(),
+		}}))
+	}
+	for program, a := range s.accounts {
+		if a.renewed.IsZero() {
+			a.renewed = now
+		}
+		if a.renewed.Before(before) && a.escrow.Settled > 0 {
+			a.renewed = now
+			s.again(newChange(program, spendChange{settled: a.escrow.Settled, retention: a.retention}))
+		}
+	}
+}
+
+// again submits a change that writes something again. It needs mu to be held.
+func (s *shard) again(c *change) {
+	if err := s.submit(c); err != nil {
+		s.logger.Warn().Err(err).Msg("record not written again")
+	}
+}
+
+// renewShare is the part of the store's retention, as a divisor, after which
+// records are written again.
+const renewShare = 2
+
 // turnRecord returns the record of a turn that was answered whole.
 func turnRecord(r *messenger.EndRequest) *recorder.Turn {
 	return &recorder.Turn{
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -37,7 +37,18 @@
 // allowanceChange sets this home's allowance.
 type allowanceChange struct{ amount int64 }
 
+// renewChange writes a turn again before the store drops it.
+type renewChange struct{ turn *recorder.Turn }
+
+// spendChange writes again what a program's ended turns have generated.
+type spendChange struct {
+	settled   int64
+	retention time.Duration
+}
+
 func (turnChange) kind()      {}
+func (renewChange) kind()     {}
+func (spendChange) kind()     {}
 func (holdChange) kind()      {}
 func (settleChange) kind()    {}
 func (allowanceChange) kind() {}
@@ -54,10 +65,14 @@
 // size estimates the change's record in bytes.
 func (c *change) size() int {
 	const small = 64
-	if t, ok := c.kind.(turnChange); ok {
-		return small + len(t.turn.GetInput()) + len(t.turn.GetOutput())
+	switch k := c.kind.(type) {
+	case turnChange:
+		return small + len(k.turn.GetInput()) + len(k.turn.GetOutput())
+	case renewChange:
+		return small + len(k.turn.GetInput()) + len(k.turn.GetOutput())
+	default:
+		return small
 	}
-	return small
 }
 
 // addTo adds the change's record to a batch.
@@ -65,6 +80,12 @@
 	switch k := c.kind.(type) {
 	case turnChange:
 		s.buildTurn(b, k.turn)
+	case renewChange:
+		b.Turns = append(b.Turns, k.turn)
+	case spendChange:
+		b.Spendings = append(b.Spendings, &recorder.Spending{
+			Program: c.program, Settled: k.settled, Retention: k.retention.Milliseconds(),
+		})
 	case holdChange:
 		b.Holds = append(b.Holds, &recorder.Hold{
 			Program: c.program, Turn: k.turn, Most: k.most, Retention: k.retention.Milliseconds(),
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -37,6 +37,8 @@
 	Partitions []connector.Partition
 	// RecordBytes is the largest record of the store.
 	RecordBytes int
+	// Retention is how long the store keeps records; 0 is for ever.
+	Retention time.Duration
 	// Home reports whether this host is home of a shard as far as it knows.
 	Home func(shard int, now time.Time) bool
 	// Stored reports whether the store is reached, by any way.
@@ -354,6 +356,9 @@
 		s.prune(now)
 		s.settleLazily()
 		if k.config.Home(id, now) {
+			if k.config.Retention > 0 {
+				s.renew(now)
+			}
 			continue
 		}
 		s.release()
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -299,6 +299,55 @@
 	})
 }
 
+// What is still kept outlives the store's retention: turns, and what a program
+// has spent.
+func TestRecordsOutliveTheStoresRetention(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, w *world) {
+		const retention = 100 * time.Second
+		k := keeper.New(ctx, keeper.Config{
+			Incarnation: "a", Store: w.store.Host("a"), Partitions: partitions, RecordBytes: 1 << 10,
+			Retention: retention,
+			Home:      func(int, time.Time) bool { return true },
+			Stored:    func(time.Time) bool { return true },
+			Counters:  &counter.Set{}, Logger: zerolog.Nop(),
+		})
+		previous := ""
+		var ends [][2]int64
+		// A turn each 20 s: the first ones are long out of the store's log when
+		// the last ones are answered, and are part of their chain.
+		for i := range 15 {
+			id := fmt.Sprint("t", i)
+			turn(ctx, t, k, id, previous)
+			previous = id
+			for range 20 {
+				time.Sleep(time.Second)
+				k.Tick(time.Now())
+				synctest.Wait()
+			}
+			ends = append(ends, [2]int64{w.store.Len(partitions[0]), w.store.Len(partitions[1])})
+			if old := i - int(retention/(20*time.Second)); old >= 0 {
+				w.store.Trim(partitions[0], ends[old][0])
+				w.store.Trim(partitions[1], ends[old][1])
+			}
+		}
+		b := w.home(ctx, "b")
+		want := ""
+		for i := range 15 {
+			want += fmt.Sprintf("in-t%d;out-t%d\n", i, i)
+		}
+		reply := b.Begin(ctx, begin("next", previous), time.Now())
+		if diff := cmp.Diff(want, string(reply.GetChain())); diff != "" {
+			t.Errorf("chain (-want +got):\n%s", diff)
+		}
+		// 15 turns have generated 60 of 100, and 10 are held: 31 are not left.
+		r := begin("more", previous)
+		r.Most = 31
+		if diff := cmp.Diff(messenger.BeginReply_EXCEEDED, b.Begin(ctx, r, time.Now()).GetVerdict()); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // A large turn is cut into records that the store takes.
 func TestLargeTurn(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T, w *world) {
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -146,8 +146,12 @@
 		s.account(h.GetProgram(), time.Duration(h.GetRetention())*time.Millisecond, now).
 			heldElsewhere(h.GetTurn(), h.GetMost())
 	}
+	age := max(0, now.Sub(time.UnixMilli(b.GetWritten())))
+	for _, e := range b.GetSpendings() {
+		s.account(e.GetProgram(), time.Duration(e.GetRetention())*time.Millisecond, now).spentElsewhere(e.GetSettled())
+	}
 	for _, t := range b.GetTurns() {
-		s.addTurn(t, now)
+		s.addTurn(t, age, now)
 		if t.GetProgram() != "" {
 			s.account(t.GetProgram(), 0, now).settledElsewhere(t.GetId(), t.GetGenerated())
 		}
@@ -163,7 +167,7 @@
 // applyOwn applies a batch of this home after it got into the store.
 func (s *shard) applyOwn(b *batch, now time.Time) {
 	for _, t := range b.message.GetTurns() {
-		s.addTurn(t, now)
+		s.addTurn(t, 0, now)
 	}
 	for _, c := range b.changes {
 		if a, ok := s.accounts[c.program]; ok {
@@ -172,14 +176,14 @@
 	}
 }
 
-func (s *shard) addTurn(t *recorder.Turn, now time.Time) {
+func (s *shard) addTurn(t *recorder.Turn, age time.Duration, now time.Time) {
 	s.tree.Add(historian.Turn{
 		ID:        t.GetId(),
 		Previous:  t.GetPrevious(),
 		Input:     t.GetInput(),
 		Output:    t.GetOutput(),
 		Retention: time.Duration(t.GetRetention()) * time.Millisecond,
-	}, now)
+	}, age, now)
 }
 
 // account returns the account of a program, a new one where there is none.
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -124,7 +124,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b = &batch{sequence: s.keeper.sequence.Add(1), changes: changes}
-	b.message = &recorder.ShardBatch{Writer: s.keeper.config.Incarnation, Sequence: b.sequence}
+	b.message = &recorder.ShardBatch{
+		Writer: s.keeper.config.Incarnation, Sequence: b.sequence, Written: time.Now().UnixMilli(),
+	}
 	for _, c := range changes {
 		c.addTo(b.message, s)
 	}
