Let a host count itself in only after it has heard the others

Shards were loaded 6 s after the hosts were back (34.5 s to 41 s). Ruled out: start-up time (all ready 1 s after), the store's call limits. Change: a host waits 0.3 s after it has read the hosts' list before it is home of anything; calls wait for that; a host that hears a new incarnation answers its heartbeat at once; homes need not be ready for callers; reads of the store get 0.6 s more.

--- a/entry.go
+++ b/entry.go
@@ -51,7 +51,7 @@
 	RecordBytes int
 	// Retention is how long the store keeps records; 0 is for ever.
 	Retention time.Duration
-	Codec       Codec
+	Codec     Codec
 	// Configurations, Upstreams and Hosts are the keyed partitions of those.
 	Configurations connector.Partition
 	Upstreams      connector.Partition
@@ -72,6 +72,9 @@
 	incarnation string
 	started     time.Time
 	leaving     atomic.Bool
+	// acquainted says that the host knows the others: before, it would take
+	// itself for home of every shard.
+	acquainted atomic.Bool
 	// active counts the requests under way, and served is when the last one
 	// came, in Unix nanoseconds.
 	active atomic.Int64
@@ -120,7 +123,7 @@
 		Conn: c.Beats, Self: e.beat, Changed: e.peersChanged, Logger: e.config.Logger,
 	})
 	e.navigator = navigator.New(navigator.Config{
-		Self: c.Host.ID, View: e.view, Live: e.live, Open: e.home, Counters: &e.counters, Logger: e.config.Logger,
+		Self: c.Host.ID, View: e.homes, Live: e.live, Open: e.home, Counters: &e.counters, Logger: e.config.Logger,
 	})
 	e.keeper = keeper.New(e.background, keeper.Config{
 		Incarnation: e.incarnation,
@@ -308,7 +311,7 @@
 // Ready reports whether the host takes requests.
 func (e *Entry) Ready() bool {
 	_, listed := e.watcher.List()
-	return listed && e.watcher.Configuration().Version > 0 && !e.leaving.Load()
+	return listed && e.acquainted.Load() && e.watcher.Configuration().Version > 0 && !e.leaving.Load()
 }
 
 // changed follows a change of the configuration or the upstreams.
@@ -343,7 +346,7 @@
 
 // limitConnections divides what an upstream accepts between the live hosts.
 func (e *Entry) limitConnections() {
-	hosts := max(1, len(e.view().Live(time.Now())))
+	hosts := max(1, len(e.callers().Live(time.Now())))
 	least := 0
 	for _, s := range e.watcher.Configuration().Services {
 		if s.Connections > 0 && (least == 0 || s.Connections < least) {
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -19,6 +19,11 @@
 	hostsEvery = 5 * time.Second
 	// hostsRetry is the time between tries while the store is away.
 	hostsRetry = 300 * time.Millisecond
+	// acquaintTime is how long a host that has read the hosts' list waits for
+	// their heartbeats: two of them.
+	acquaintTime = 300 * time.Millisecond
+	// acquaintLongest is how long it waits where the list can't be read.
+	acquaintLongest = 1500 * time.Millisecond
 	// membersFresh is how long a picture of the hosts is used again.
 	membersFresh = 50 * time.Millisecond
 	// directoryKeep is how long callers may keep the directory's answer.
@@ -28,9 +33,12 @@
 // memberCache holds a picture of the hosts for a short time. The zero value is
 // empty.
 type memberCache struct {
-	mu      sync.Mutex
-	made    time.Time
-	view    locator.View
+	mu   sync.Mutex
+	made time.Time
+	// homes has the hosts that may be home of shards, callers those that take
+	// requests of callers.
+	homes   locator.View
+	callers locator.View
 	running map[uint64]int
 }
 
@@ -41,28 +49,41 @@
 }
 
 // refresh makes the picture anew where it is old.
-func (c *memberCache) refresh(e *Entry, now time.Time) (locator.View, map[uint64]int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *memberCache) refresh(e *Entry, now time.Time) {
 	if now.Sub(c.made) < membersFresh {
-		return c.view, c.running
+		return
 	}
 	c.made = now
 	c.running = make(map[uint64]int)
-	var hosts []descriptor.Host
+	var homes, callers []descriptor.Host
+	if !e.leaving.Load() {
+		homes = append(homes, e.config.Host)
+	}
 	if e.Ready() {
-		hosts = append(hosts, e.config.Host)
+		callers = append(callers, e.config.Host)
 	}
 	for _, b := range e.gossiper.Table().Live(now) {
 		for _, r := range b.GetRunning() {
 			c.running[r.GetUpstream()] += int(r.GetRequests())
 		}
-		if b.GetReady() && !b.GetLeaving() {
-			hosts = append(hosts, hostOf(b))
+		if b.GetLeaving() {
+			continue
 		}
+		homes = append(homes, hostOf(b))
+		if b.GetReady() {
+			callers = append(callers, hostOf(b))
+		}
+	}
+	if len(homes) == 0 {
+		// The last host finishes what it has.
+		homes = append(homes, e.config.Host)
+	}
+	if !e.acquainted.Load() {
+		// A host that knows no other would take itself for home of every shard.
+		homes = nil
 	}
-	c.view = locator.View{}.WithMembers(descriptor.Members{Hosts: hosts})
-	return c.view, c.running
+	c.homes = locator.View{}.WithMembers(descriptor.Members{Hosts: homes})
+	c.callers = locator.View{}.WithMembers(descriptor.Members{Hosts: callers})
 }
 
 func hostOf(b *messenger.Beat) descriptor.Host {
@@ -71,16 +92,29 @@
 	}
 }
 
-// view returns the hosts that take requests, this one included.
-func (e *Entry) view() locator.View {
-	v, _ := e.members.refresh(e, time.Now())
-	return v
+// homes returns the hosts that may be home of shards, this one included. It is
+// empty before the others are known.
+func (e *Entry) homes() locator.View {
+	e.members.mu.Lock()
+	defer e.members.mu.Unlock()
+	e.members.refresh(e, time.Now())
+	return e.members.homes
+}
+
+// callers returns the hosts that take requests of callers.
+func (e *Entry) callers() locator.View {
+	e.members.mu.Lock()
+	defer e.members.mu.Unlock()
+	e.members.refresh(e, time.Now())
+	return e.members.callers
 }
 
 // othersRunning returns the requests of other hosts under way, by upstream hash.
 func (e *Entry) othersRunning() map[uint64]int {
-	_, running := e.members.refresh(e, time.Now())
-	return running
+	e.members.mu.Lock()
+	defer e.members.mu.Unlock()
+	e.members.refresh(e, time.Now())
+	return e.members.running
 }
 
 // live reports whether another host is heard of.
@@ -122,7 +156,7 @@
 // in the caller's data centre while there are any, else all.
 func (e *Entry) Addresses(dataCentre string, now time.Time) ([]string, time.Duration) {
 	var near, all []string
-	for _, h := range e.view().Live(now) {
+	for _, h := range e.callers().Live(now) {
 		all = append(all, h.Caller)
 		if h.DataCentre == dataCentre {
 			near = append(near, h.Caller)
@@ -141,14 +175,30 @@
 	for _, seed := range e.config.Seeds {
 		e.gossiper.Name(seed, now)
 	}
+	go e.acquaint(ctx, acquaintLongest)
 	e.retry(ctx, e.enlist)
 	for ctx.Err() == nil {
 		e.retry(ctx, e.readHosts)
+		e.acquaint(ctx, acquaintTime)
 		waiter.Sleep(ctx, hostsEvery)
 	}
 	return nil
 }
 
+// acquaint lets the host count itself among the others after a time in which
+// they have been heard.
+func (e *Entry) acquaint(ctx context.Context, after time.Duration) {
+	if e.acquainted.Load() {
+		return
+	}
+	e.gossiper.Send()
+	waiter.Sleep(ctx, after)
+	if !e.acquainted.Swap(true) {
+		e.config.Logger.Info().Int("hosts", len(e.gossiper.Table().Live(time.Now()))).Msg("other hosts are known")
+		e.changed()
+	}
+}
+
 // retry repeats a call of the store until it succeeds or ctx ends.
 func (e *Entry) retry(ctx context.Context, call func(context.Context) error) {
 	for ctx.Err() == nil {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -83,15 +83,18 @@
 }
 
 // Send sends a heartbeat to every known host.
-func (g *Gossiper) Send() {
+func (g *Gossiper) Send() { g.send(g.Table().Names()) }
+
+// answer sends a heartbeat to one host.
+func (g *Gossiper) answer(name string) { g.send([]string{name}) }
+
+func (g *Gossiper) send(names []string) {
 	beat := g.config.Self()
 	g.mu.Lock()
 	g.sequence++
 	beat.Sequence = g.sequence
-	table := g.table
+	beat.Peers = some(g.table.Names())
 	g.mu.Unlock()
-	names := table.Names()
-	beat.Peers = some(names)
 	data, err := proto.Marshal(beat)
 	if err == nil && len(data) > maxBeat {
 		beat.Running = nil
@@ -164,6 +167,10 @@
 		}
 	}
 	g.mu.Unlock()
+	if old.GetIncarnation() != beat.GetIncarnation() {
+		// A host that has just started does not know this one yet.
+		g.answer(beat.GetAddress())
+	}
 	if old == nil || differs(old, beat) {
 		g.look(now)
 		g.config.Changed()
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -119,7 +119,7 @@
 			run(t, func(ctx context.Context, t *testing.T, w *world) {
 				var mu sync.Mutex
 				calls := 0
-				w.store.Fault = func(c standin.Call) standin.Effect {
+				w.store.SetFault(func(c standin.Call) standin.Effect {
 					mu.Lock()
 					defer mu.Unlock()
 					if c.Append {
@@ -129,7 +129,7 @@
 						return effect
 					}
 					return standin.Done
-				}
+				})
 				a := w.home(ctx, "a")
 				turn(ctx, t, a, "1", "")
 				w.store.Settle()
@@ -272,7 +272,7 @@
 		if got := a.Begin(ctx, begin("3", "2"), time.Now()).GetVerdict(); got != messenger.BeginReply_RESERVED {
 			t.Errorf("a turn of another home: %s", got)
 		}
-		w.store.Fault = func(standin.Call) standin.Effect { return standin.Refuse }
+		w.store.SetFault(func(standin.Call) standin.Effect { return standin.Refuse })
 		if got := a.Begin(ctx, begin("y", "unknown"), time.Now()).GetVerdict(); got != messenger.BeginReply_UNCERTAIN {
 			t.Errorf("an unknown turn while the store refuses: %s", got)
 		}
@@ -376,14 +376,14 @@
 		synctest.Wait()
 		var mu sync.Mutex
 		away := true
-		w.store.Fault = func(standin.Call) standin.Effect {
+		w.store.SetFault(func(standin.Call) standin.Effect {
 			mu.Lock()
 			defer mu.Unlock()
 			if away {
 				return standin.Refuse
 			}
 			return standin.Done
-		}
+		})
 		limited, cancel := context.WithTimeout(ctx, 2*time.Second)
 		defer cancel()
 		if _, err := a.End(limited, end("1", ""), time.Now()); err == nil {
--- a/navigator/navigator.go
+++ b/navigator/navigator.go
@@ -30,6 +30,8 @@
 	mostTries = 4
 	// pause is the time between tries: membership may settle meanwhile.
 	pause = 20 * time.Millisecond
+	// strangerWait is how long a call waits for the first host to be known.
+	strangerWait = 600 * time.Millisecond
 	// livenessEvery is how often a waiting call looks whether its home lives.
 	livenessEvery = 50 * time.Millisecond
 )
@@ -44,7 +46,8 @@
 // Config is what a Navigator works with.
 type Config struct {
 	Self string
-	// View returns the hosts that are live and not leaving, this one included.
+	// View returns the hosts that are live and not leaving, this one included. It
+	// is empty before the others are known.
 	View func() locator.View
 	// Live reports whether a host is heard of.
 	Live func(host string, now time.Time) bool
@@ -97,10 +100,11 @@
 	return v
 }
 
-// IsHome reports whether this host is home of a shard as far as it knows.
+// IsHome reports whether this host is home of a shard as far as it knows. A host
+// that knows none yet leaves that to the one that asks.
 func (n *Navigator) IsHome(shard int, now time.Time) bool {
 	h, ok := n.view(now).Home(shardKey(shard), now)
-	return ok && h.ID == n.config.Self
+	return !ok || h.ID == n.config.Self
 }
 
 // suspect avoids a host that failed a call.
@@ -150,8 +154,7 @@
 			n.config.Counters.Retried(counter.RetryHome)
 			waiter.Sleep(ctx, pause)
 		}
-		now := time.Now()
-		ranked := n.view(now).Ranked(shardKey(int(shard)), now)
+		ranked := n.ranked(ctx, int(shard))
 		if len(ranked) == 0 || ctx.Err() != nil {
 			break
 		}
@@ -174,6 +177,18 @@
 	return reply, &HomelessError{Shard: shard, Cause: last}
 }
 
+// ranked returns the hosts in the order in which they become home of a shard.
+// It waits for a time where none is known: this host may have just started.
+func (n *Navigator) ranked(ctx context.Context, shard int) []descriptor.Host {
+	for began := time.Now(); ; waiter.Sleep(ctx, pause) {
+		now := time.Now()
+		ranked := n.view(now).Ranked(shardKey(shard), now)
+		if len(ranked) > 0 || ctx.Err() != nil || now.Sub(began) > strangerWait {
+			return ranked
+		}
+	}
+}
+
 // GoneError says that a host fell silent during a call.
 type GoneError struct{ Host string }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -21,6 +21,9 @@
 	// lonelyTimeout bounds a direct call while no other host does: a slow store
 	// still answers.
 	lonelyTimeout = 1500 * time.Millisecond
+	// readExtra is added for a read, which may bring a megabyte of a store that
+	// many hosts read.
+	readExtra = 600 * time.Millisecond
 	// relayTimeout bounds a call through another host.
 	relayTimeout = 600 * time.Millisecond
 	// probeEvery is how often a store that failed is tried directly while
@@ -172,7 +175,7 @@
 
 // Read reads records.
 func (r *Relayer) Read(ctx context.Context, p connector.Partition, from int64, wait time.Duration) (connector.Records, error) {
-	return call(ctx, r, wait,
+	return call(ctx, r, wait+readExtra,
 		func(ctx context.Context) (connector.Records, error) {
 			return r.config.Direct.Read(ctx, p, from, wait)
 		},
--- a/standin/store.go
+++ b/standin/store.go
@@ -33,12 +33,15 @@
 	Partition connector.Partition
 	// Append tells an append from a read.
 	Append bool
+	// From is the offset that a read asks for.
+	From int64
 }
 
 // Store is a store of partitioned and keyed logs in memory. The zero value is
 // empty. It is safe for concurrent use.
 type Store struct {
-	// Fault says what happens to a call; nil does all.
+	// Fault says what happens to a call; nil does all. While the store is in use,
+	// SetFault sets it.
 	Fault func(Call) Effect
 	// Key returns the key of a record of a keyed partition.
 	Key func(record []byte) (key string, value []byte)
@@ -62,6 +65,13 @@
 // ErrLost is the cause of a lost answer.
 var ErrLost = errors.New("no answer came")
 
+// SetFault sets what happens to calls from now on; nil does all.
+func (s *Store) SetFault(fault func(Call) Effect) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Fault = fault
+}
+
 // Host returns the store as one host reaches it.
 func (s *Store) Host(name string) connector.Store { return hostStore{store: s, host: name} }
 
@@ -117,7 +127,7 @@
 	host  string
 }
 
-func (h hostStore) effect(p connector.Partition, appends bool) Effect {
+func (h hostStore) effect(p connector.Partition, appends bool, from int64) Effect {
 	s := h.store
 	s.mu.Lock()
 	fault := s.Fault
@@ -126,7 +136,7 @@
 	if fault == nil {
 		return Done
 	}
-	return fault(Call{Host: h.host, Partition: p, Append: appends})
+	return fault(Call{Host: h.host, Partition: p, Append: appends, From: from})
 }
 
 // Append adds records, all or none, where the partition ends at the offset.
@@ -135,7 +145,7 @@
 	for i, r := range records {
 		copied[i] = append([]byte(nil), r...)
 	}
-	switch h.effect(p, true) {
+	switch h.effect(p, true, 0) {
 	case Refuse:
 		return connector.Appended{}, &connector.RefusedError{Status: 503, Detail: "refused"}
 	case LoseCall:
@@ -186,7 +196,7 @@
 
 // Read returns records from an offset on.
 func (h hostStore) Read(ctx context.Context, p connector.Partition, from int64, wait time.Duration) (connector.Records, error) {
-	switch h.effect(p, false) {
+	switch h.effect(p, false, from) {
 	case Done:
 	case Refuse:
 		return connector.Records{}, &connector.RefusedError{Status: 503, Detail: "refused"}
@@ -224,7 +234,7 @@
 
 // Newest returns the newest record of each key.
 func (h hostStore) Newest(_ context.Context, p connector.Partition) (connector.Newest, error) {
-	switch h.effect(p, false) {
+	switch h.effect(p, false, 0) {
 	case Done:
 	case Refuse:
 		return connector.Newest{}, &connector.RefusedError{Status: 503, Detail: "refused"}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -179,14 +179,14 @@
 		time.Sleep(time.Second)
 		var mu sync.Mutex
 		away := true
-		w.store.Fault = func(c standin.Call) standin.Effect {
+		w.store.SetFault(func(c standin.Call) standin.Effect {
 			mu.Lock()
 			defer mu.Unlock()
 			if away && c.Host == "h" {
 				return standin.Refuse
 			}
 			return standin.Done
-		}
+		})
 		time.Sleep(5 * time.Second)
 		w.put(t, upstreams, "u", "null")
 		mu.Lock()
