Pass no success on without proof that an upstream made it

A 2xx answer that echoes the id and bears no stamp would have been passed on; callers must not get one. It counts as broken off now (text case "success without proof" fails before). Fields that nothing reads are taken out of the configuration, and the search for a turn is cut into its steps.

--- a/descriptor/configuration.go
+++ b/descriptor/configuration.go
@@ -24,8 +24,6 @@
 	Kind   Kind
 	// Timeout is how long a caller is kept waiting at most.
 	Timeout time.Duration
-	// Objective is the time within which an answer is on time.
-	Objective time.Duration
 	// Rank is the importance; 0 is the highest.
 	Rank int
 	// Split lists the services that take the route's requests.
@@ -54,8 +52,6 @@
 type Stream struct {
 	// Resumable says that another upstream may go on after an event.
 	Resumable bool
-	// Gap is the longest pause between events that is on time.
-	Gap time.Duration
 	// Retain says that the system keeps the turns: a request carries only what
 	// is new.
 	Retain bool
@@ -76,14 +72,10 @@
 	TokensPerEvent int64
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send.
 type Limits struct {
 	// Body is the largest body in bytes.
 	Body int64
-	// Header is how long a caller may take to send its header.
-	Header time.Duration
-	// Idle is how long a connection may be idle.
-	Idle time.Duration
 }
 
 // Route returns the route of a host and path: the one with the longest prefix.
--- a/descriptor/request.go
+++ b/descriptor/request.go
@@ -26,8 +26,6 @@
 	Program string
 	// Session names one line of turns of the program.
 	Session string
-	// Finish is when the program should be finished; zero is unknown.
-	Finish time.Time
 	// Budget is what the program may generate in all, in tokens; 0 is no bound.
 	Budget int64
 	// Previous is the turn that this one continues; empty begins a chain.
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -12,8 +12,6 @@
 	Header http.Header
 	// Length is that of the body in bytes; -1 is unknown.
 	Length int64
-	// Genuine says that an upstream made the answer running the request.
-	Genuine bool
 
 	body  io.ReadCloser
 	conn  *conn
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -157,16 +157,18 @@
 		c.unfinished = c.skipped || !whole || response.Close || discard(response) != nil
 		return nil, &NotRunError{Upstream: u.ID, Status: response.StatusCode}
 	}
+	if response.StatusCode < http.StatusMultipleChoices && !e.codec.Genuine(response.Header) {
+		return nil, &BrokenError{Upstream: u.ID, Cause: &UnprovedError{Status: response.StatusCode}}
+	}
 	c.unfinished = c.skipped || !whole || response.Close
 	return &Answer{
-		Status:  response.StatusCode,
-		Header:  response.Header,
-		Length:  response.ContentLength,
-		Genuine: e.codec.Genuine(response.Header),
-		body:    response.Body,
-		conn:    c,
-		pool:    &e.pool,
-		name:    u.ID,
+		Status: response.StatusCode,
+		Header: response.Header,
+		Length: response.ContentLength,
+		body:   response.Body,
+		conn:   c,
+		pool:   &e.pool,
+		name:   u.ID,
 	}, nil
 }
 
@@ -201,6 +203,14 @@
 // maxSurplus is the most answers to other requests that are skipped.
 const maxSurplus = 3
 
+// UnprovedError says that a success bears no proof that an upstream made it.
+type UnprovedError struct{ Status int }
+
+// Error describes the failure.
+func (e *UnprovedError) Error() string {
+	return fmt.Sprintf("answer with status %d bears no proof that an upstream made it", e.Status)
+}
+
 // ForeignError says that an answer belongs to another request.
 type ForeignError struct{ Echo string }
 
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -27,7 +27,7 @@
 }
 func (codec) Echo(h http.Header) string             { return h.Get("Id") }
 func (codec) NotRun(status int, h http.Header) bool { return h.Get("Not-Run") != "" || status == 421 }
-func (codec) Genuine(h http.Header) bool            { return true }
+func (codec) Genuine(h http.Header) bool            { return h.Get("Unproved") == "" }
 
 // upstream is a server that answers by script.
 type upstream struct {
@@ -214,6 +214,10 @@
 			}
 			return true
 		}, []string{"broken", "broken"}, 2},
+		{"success without proof", func(c net.Conn, id string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nUnproved: 1\r\nContent-Length: 2\r\n\r\nok", id)
+			return true
+		}, []string{"broken", "broken"}, 2},
 		{"not run", func(c net.Conn, _ string) bool {
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 			return true
--- a/navigator/navigator.go
+++ b/navigator/navigator.go
@@ -246,45 +246,57 @@
 // Search looks for a turn in shards, at their homes. It is certain where every
 // shard was read to its end.
 func (n *Navigator) Search(ctx context.Context, turn string, shards []int) (chain []byte, found, certain bool) {
-	now := time.Now()
-	view := n.view(now)
-	byHost := make(map[string][]int32)
-	homes := make(map[string]descriptor.Host)
-	for _, s := range shards {
-		h, ok := view.Home(shardKey(s), now)
-		if !ok {
-			return nil, false, false
-		}
-		byHost[h.ID] = append(byHost[h.ID], int32(s))
-		homes[h.ID] = h
+	errands, ok := n.errands(shards, time.Now())
+	if !ok {
+		return nil, false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
-	type result struct {
-		host  string
-		reply *messenger.FindReply
-		err   error
-	}
-	results := make(chan result, len(byHost))
-	for host, list := range byHost {
-		go func() {
-			reply, err := n.config.Open(homes[host]).Find(ctx, &messenger.FindRequest{Shards: list, Turn: turn})
-			results <- result{host, reply, err}
-		}()
+	replies := make(chan *messenger.FindReply, len(errands))
+	for _, e := range errands {
+		go func() { replies <- n.find(ctx, e, turn) }()
 	}
 	searched := 0
-	for range byHost {
-		r := <-results
-		if r.err != nil {
-			if !errors.Is(r.err, context.Canceled) {
-				n.config.Logger.Info().Err(r.err).Str("peer", r.host).Str("turn", turn).Msg("shards not searched")
-			}
-			continue
-		}
-		if r.reply.GetFound() {
-			return r.reply.GetChain(), true, true
+	for range errands {
+		reply := <-replies
+		if reply.GetFound() {
+			return reply.GetChain(), true, true
 		}
-		searched += len(r.reply.GetCertain())
+		searched += len(reply.GetCertain())
 	}
 	return nil, false, searched == len(shards)
 }
+
+// errand is a host and the shards that it is asked to search.
+type errand struct {
+	host   descriptor.Host
+	shards []int32
+}
+
+// errands returns which host is asked for which shards. It is false where a
+// shard has no home.
+func (n *Navigator) errands(shards []int, now time.Time) (map[string]*errand, bool) {
+	view := n.view(now)
+	errands := make(map[string]*errand)
+	for _, s := range shards {
+		h, ok := view.Home(shardKey(s), now)
+		if !ok {
+			return nil, false
+		}
+		if errands[h.ID] == nil {
+			errands[h.ID] = &errand{host: h}
+		}
+		errands[h.ID].shards = append(errands[h.ID].shards, int32(s))
+	}
+	return errands, true
+}
+
+// find asks one host. A failure is a reply that is certain of nothing.
+func (n *Navigator) find(ctx context.Context, e *errand, turn string) *messenger.FindReply {
+	reply, err := n.config.Open(e.host).Find(ctx, &messenger.FindRequest{Shards: e.shards, Turn: turn})
+	if err != nil {
+		n.config.Logger.Info().Err(err).Str("peer", e.host.ID).Str("turn", turn).Msg("shards not searched")
+		return &messenger.FindReply{}
+	}
+	return reply
+}
