--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -119,7 +119,7 @@
 
 // upstream starts an upstream that plays one script for each request in turn,
 // the last one for all further ones.
-func (w *world) upstream(t *testing.T, name string, scripts ...script) descriptor.Upstream {
+func (w *world) upstream(t testing.TB, name string, scripts ...script) descriptor.Upstream {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -163,7 +163,7 @@
 	return &world{homes: &homes{verdict: messenger.BeginReply_RESERVED}}
 }
 
-func (w *world) start(t *testing.T, kind descriptor.Kind, attempts int, upstreams ...descriptor.Upstream) {
+func (w *world) start(t testing.TB, kind descriptor.Kind, attempts int, upstreams ...descriptor.Upstream) {
 	t.Helper()
 	var list watcher.List
 	for i, u := range upstreams {
