Keep turns that name no program, and bound none that names no budget

Cause (reading the code): a retained turn without a program was neither joined nor recorded, and one without a budget was refused as over it.

--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -35,14 +35,14 @@
 // begin reserves budget for a turn and joins its chain. It returns the outcome
 // where the turn must not run.
 func (e *exchange) begin(ctx context.Context, t *turn) Outcome {
-	if e.request.Program == "" {
+	if e.request.Program == "" && !t.kind.Retain {
 		return nil
 	}
 	chain, cached := e.chains.Get(e.request.Previous)
 	retain := t.kind.Retain && e.request.Previous != ""
 	r := &messenger.BeginRequest{
-		Shard:     int32(keeper.Shard(e.request.Program, e.config.Shards)),
-		Program:   e.request.Program,
+		Shard:     int32(keeper.Shard(e.program(), e.config.Shards)),
+		Program:   e.program(),
 		Session:   e.request.Session,
 		Turn:      e.request.ID,
 		Budget:    e.request.Budget,
@@ -82,6 +82,15 @@
 	return nil
 }
 
+// program returns what a turn's home is found by. A turn that names no program is
+// one of its own; others that continue it find it in its shard.
+func (e *exchange) program() string {
+	if e.request.Program == "" {
+		return e.request.ID
+	}
+	return e.request.Program
+}
+
 // refusedBegin returns the outcome of a turn that its home refused.
 func refusedBegin(reply *messenger.BeginReply, r descriptor.Request) Outcome {
 	switch reply.GetVerdict() {
@@ -100,8 +109,8 @@
 // end returns the message that settles a turn.
 func (e *exchange) endRequest(t *turn) *messenger.EndRequest {
 	return &messenger.EndRequest{
-		Shard:     int32(keeper.Shard(e.request.Program, e.config.Shards)),
-		Program:   e.request.Program,
+		Shard:     int32(keeper.Shard(e.program(), e.config.Shards)),
+		Program:   e.program(),
 		Session:   e.request.Session,
 		Turn:      e.request.ID,
 		Generated: e.generated,
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -173,6 +173,10 @@
 
 // reserve holds the most of a turn in its program's budget.
 func (k *Keeper) reserve(ctx context.Context, s *shard, r *messenger.BeginRequest, now time.Time) *messenger.BeginReply {
+	if r.GetBudget() <= 0 {
+		// The program names no budget: it has no bound.
+		return &messenger.BeginReply{Verdict: messenger.BeginReply_RESERVED}
+	}
 	ctx, cancel := context.WithTimeout(ctx, max(leastRecord, patience(r, recordWait)))
 	defer cancel()
 	for {
