--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 )
 
@@ -39,20 +40,6 @@
 	Genuine(h http.Header) bool
 }
 
-// UnsentError says that no byte of the request left the host.
-type UnsentError struct {
-	Upstream string
-	Cause    error
-}
-
-// Error describes the failure.
-func (e *UnsentError) Error() string {
-	return fmt.Sprintf("request to %s was not sent: %v", e.Upstream, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *UnsentError) Unwrap() error { return e.Cause }
-
 // NotRunError says that the upstream did not run the request.
 type NotRunError struct {
 	Upstream string
@@ -113,11 +100,13 @@
 }
 
 // Send sends a request and returns the answer once its header has arrived.
-// The answer has to be closed. Ending ctx drops the connection.
+// The answer has to be closed. Ending ctx drops the connection. A failure is a
+// *connector.UnsentError where no byte left the host, a *NotRunError, or a
+// *BrokenError.
 func (e *Exchanger) Send(ctx context.Context, u descriptor.Upstream, d Dispatch, now time.Time) (*Answer, error) {
 	c, err := e.pool.take(ctx, u, now)
 	if err != nil {
-		return nil, &UnsentError{Upstream: u.ID, Cause: err}
+		return nil, &connector.UnsentError{Upstream: u.ID, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, err := e.exchange(c, u, d)
@@ -138,7 +127,7 @@
 	writing := c.start(d.Request, e.codec.Header(d, u))
 	if len(d.Request.Body) <= eagerBody {
 		if w := writing.wait(); w.unsent() {
-			return nil, &UnsentError{Upstream: u.ID, Cause: w.err}
+			return nil, &connector.UnsentError{Upstream: u.ID, Cause: w.err}
 		}
 	}
 	// A write that failed half way may still be answered: upstreams refuse
@@ -148,7 +137,7 @@
 		c.interrupt()
 		w := writing.wait()
 		if w.unsent() {
-			return nil, &UnsentError{Upstream: u.ID, Cause: w.err}
+			return nil, &connector.UnsentError{Upstream: u.ID, Cause: w.err}
 		}
 		return nil, &BrokenError{Upstream: u.ID, Cause: errors.Join(w.err, err)}
 	}
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
 )
@@ -116,7 +117,7 @@
 }
 
 func kind(err error) string {
-	var unsent *exchanger.UnsentError
+	var unsent *connector.UnsentError
 	var notRun *exchanger.NotRunError
 	var broken *exchanger.BrokenError
 	switch {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
@@ -138,7 +139,7 @@
 func (e *exchange) failed(ctx context.Context, u descriptor.Upstream, err error) Outcome {
 	now := time.Now()
 	e.tried = withTried(e.tried, u.ID)
-	var unsent *exchanger.UnsentError
+	var unsent *connector.UnsentError
 	var notRun *exchanger.NotRunError
 	event := e.config.Logger.Info().Err(err).Str("id", e.request.ID).Str("upstream", u.ID).Int64("listed", u.Beat)
 	switch {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
@@ -171,7 +172,7 @@
 		Str("after", last).Msg("stream broke off, resuming")
 	e.config.Counters.Retried(counter.RetryResume)
 	answer, err := e.sendTo(ctx, e.upstream, last, time.Now())
-	var unsent *exchanger.UnsentError
+	var unsent *connector.UnsentError
 	if errors.As(err, &unsent) {
 		e.tried = withTried(e.tried, e.upstream.ID)
 		answer, _ = e.send(ctx, last)
