--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -85,7 +85,7 @@
 	s, ok := k.shards[id]
 	if !ok {
 		p := k.config.Partitions[id]
-		s = &shard{partition: p, keeper: k, logger: k.config.Logger.With().Str("shard", p.String()).Logger()}
+		s = &shard{partition: p, keeper: k, reading: make(chan struct{}, 1), logger: k.config.Logger.With().Str("shard", p.String()).Logger()}
 		k.shards[id] = s
 	}
 	s.mu.Lock()
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -273,6 +273,9 @@
 			t.Errorf("a turn of another home: %s", got)
 		}
 		w.store.SetFault(func(standin.Call) standin.Effect { return standin.Refuse })
+		// An append that is repeated keeps no one waiting beyond its own time.
+		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
 		if got := a.Begin(ctx, begin("y", "unknown"), time.Now()).GetVerdict(); got != messenger.BeginReply_UNCERTAIN {
 			t.Errorf("an unknown turn while the store refuses: %s", got)
 		}
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -21,8 +21,8 @@
 	keeper    *Keeper
 	logger    zerolog.Logger
 
-	// reading is held while the partition is read or appended to.
-	reading sync.Mutex
+	// reading has room for the one that reads the partition or appends to it.
+	reading chan struct{}
 
 	mu sync.Mutex
 	// loaded says that the partition was read to its end once.
@@ -55,8 +55,10 @@
 	if s.isLoaded() {
 		return nil
 	}
-	s.reading.Lock()
-	defer s.reading.Unlock()
+	if err := s.acquire(ctx); err != nil {
+		return err
+	}
+	defer s.free()
 	if s.isLoaded() {
 		return nil
 	}
@@ -72,6 +74,18 @@
 	return nil
 }
 
+// acquire waits until no one else reads or appends, or ctx ends.
+func (s *shard) acquire(ctx context.Context) error {
+	select {
+	case s.reading <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *shard) free() { <-s.reading }
+
 func (s *shard) isLoaded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,8 +94,10 @@
 
 // refresh reads what others have appended since the shard was last read.
 func (s *shard) refresh(ctx context.Context) error {
-	s.reading.Lock()
-	defer s.reading.Unlock()
+	if err := s.acquire(ctx); err != nil {
+		return err
+	}
+	defer s.free()
 	return s.catchUp(ctx, nil)
 }
 
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -104,8 +104,10 @@
 
 // commit appends changes, built anew whenever another home has appended.
 func (s *shard) commit(ctx context.Context, changes []*change) error {
-	s.reading.Lock()
-	defer s.reading.Unlock()
+	if err := s.acquire(ctx); err != nil {
+		return err
+	}
+	defer s.free()
 	for ctx.Err() == nil {
 		b, at, err := s.build(changes)
 		if err != nil {
