--- a/entry.go
+++ b/entry.go
@@ -333,7 +333,7 @@
 			e.exchanger.Prune(list.Listed, now)
 			e.board.Prune(list.Listed)
 		}
-		e.limitConnections()
+		e.limitConnections(now)
 		if e.Ready() {
 			once.Do(func() {
 				e.config.Logger.Info().Dur("after_ms", now.Sub(e.started)).Int("upstreams", list.Len()).Msg("ready")
@@ -345,8 +345,8 @@
 }
 
 // limitConnections divides what an upstream accepts between the live hosts.
-func (e *Entry) limitConnections() {
-	hosts := max(1, len(e.callers().Live(time.Now())))
+func (e *Entry) limitConnections(now time.Time) {
+	hosts := max(1, len(e.callers(now).Live(now)))
 	least := 0
 	for _, s := range e.watcher.Configuration().Services {
 		if s.Connections > 0 && (least == 0 || s.Connections < least) {
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -94,26 +94,26 @@
 
 // homes returns the hosts that may be home of shards, this one included. It is
 // empty before the others are known.
-func (e *Entry) homes() locator.View {
+func (e *Entry) homes(now time.Time) locator.View {
 	e.members.mu.Lock()
 	defer e.members.mu.Unlock()
-	e.members.refresh(e, time.Now())
+	e.members.refresh(e, now)
 	return e.members.homes
 }
 
 // callers returns the hosts that take requests of callers.
-func (e *Entry) callers() locator.View {
+func (e *Entry) callers(now time.Time) locator.View {
 	e.members.mu.Lock()
 	defer e.members.mu.Unlock()
-	e.members.refresh(e, time.Now())
+	e.members.refresh(e, now)
 	return e.members.callers
 }
 
 // othersRunning returns the requests of other hosts under way, by upstream hash.
-func (e *Entry) othersRunning() map[uint64]int {
+func (e *Entry) othersRunning(now time.Time) map[uint64]int {
 	e.members.mu.Lock()
 	defer e.members.mu.Unlock()
-	e.members.refresh(e, time.Now())
+	e.members.refresh(e, now)
 	return e.members.running
 }
 
@@ -156,7 +156,7 @@
 // in the caller's data centre while there are any, else all.
 func (e *Entry) Addresses(dataCentre string, now time.Time) ([]string, time.Duration) {
 	var near, all []string
-	for _, h := range e.callers().Live(now) {
+	for _, h := range e.callers(now).Live(now) {
 		all = append(all, h.Caller)
 		if h.DataCentre == dataCentre {
 			near = append(near, h.Caller)
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -90,7 +90,7 @@
 		dataCentre: e.config.DataCentre,
 		held:       e.held,
 		tried:      e.tried,
-		others:     e.config.Others(),
+		others:     e.config.Others(now),
 	}, now)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -42,7 +42,7 @@
 	// Upstreams returns the list; it is false before it was read.
 	Upstreams func() (watcher.List, bool)
 	// Others returns the requests of other hosts under way, by upstream hash.
-	Others    func() map[uint64]int
+	Others    func(now time.Time) map[uint64]int
 	Homes     Homes
 	Exchanger *exchanger.Exchanger
 	Board     *Board
--- a/navigator/navigator.go
+++ b/navigator/navigator.go
@@ -48,7 +48,7 @@
 	Self string
 	// View returns the hosts that are live and not leaving, this one included. It
 	// is empty before the others are known.
-	View func() locator.View
+	View func(now time.Time) locator.View
 	// Live reports whether a host is heard of.
 	Live func(host string, now time.Time) bool
 	// Open returns a host's Home.
@@ -87,7 +87,7 @@
 
 // view returns the live hosts, suspects marked.
 func (n *Navigator) view(now time.Time) locator.View {
-	v := n.config.View()
+	v := n.config.View(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for host, until := range n.suspects {
@@ -159,17 +159,18 @@
 			break
 		}
 		h := ranked[0]
-		var elsewhere bool
+		var elsewhere, slow bool
 		limited, cancel := n.whileLive(ctx, h.ID, timeout)
 		reply, elsewhere, last = call(limited, n.config.Open(h), try > 0)
-		switch {
-		case last == nil && !elsewhere:
-			cancel()
+		now := time.Now()
+		slow = n.vouched(h.ID, limited, now)
+		cancel()
+		if last == nil && !elsewhere {
 			return reply, nil
-		case last != nil && ctx.Err() == nil && !n.vouched(h.ID, limited):
-			n.suspect(h.ID, last, time.Now())
 		}
-		cancel()
+		if last != nil && ctx.Err() == nil && !slow {
+			n.suspect(h.ID, last, now)
+		}
 	}
 	if last == nil {
 		last = ctx.Err()
@@ -203,9 +204,9 @@
 
 // vouched reports whether a host whose call failed is merely slow: its
 // heartbeats come, and another home would have to read the shard first.
-func (n *Navigator) vouched(host string, call context.Context) bool {
+func (n *Navigator) vouched(host string, call context.Context, now time.Time) bool {
 	var tardy *TardyError
-	return errors.As(context.Cause(call), &tardy) && n.config.Live(host, time.Now())
+	return errors.As(context.Cause(call), &tardy) && n.config.Live(host, now)
 }
 
 // whileLive returns a context that ends when the host is no longer heard of or
--- a/navigator/navigator_test.go
+++ b/navigator/navigator_test.go
@@ -18,7 +18,10 @@
 	"github.com/citronpier/citronpier/navigator"
 )
 
-var errDead = errors.New("no connection")
+// deadError is the failure of a call to a host that is dead.
+type deadError struct{}
+
+func (*deadError) Error() string { return "no connection" }
 
 // world is some hosts and what their homes do.
 type world struct {
@@ -47,7 +50,7 @@
 
 func (h home) Find(_ context.Context, r *messenger.FindRequest) (*messenger.FindReply, error) {
 	if h.world.does[h.name] != nil {
-		return nil, errDead
+		return nil, &deadError{}
 	}
 	return &messenger.FindReply{Certain: r.GetShards()}, nil
 }
@@ -61,7 +64,7 @@
 	}
 	return w, navigator.New(navigator.Config{
 		Self:     "self",
-		View:     func() locator.View { return locator.View{}.WithMembers(descriptor.Members{Hosts: w.hosts}) },
+		View:     func(time.Time) locator.View { return locator.View{}.WithMembers(descriptor.Members{Hosts: w.hosts}) },
 		Live:     func(host string, _ time.Time) bool { return w.heard[host] },
 		Open:     func(h descriptor.Host) navigator.Home { return home{world: w, name: h.ID} },
 		Counters: &counter.Set{},
@@ -79,7 +82,7 @@
 	return names
 }
 
-func dead(context.Context) (*messenger.BeginReply, error) { return nil, errDead }
+func dead(context.Context) (*messenger.BeginReply, error) { return nil, &deadError{} }
 
 func elsewhere(context.Context) (*messenger.BeginReply, error) {
 	return &messenger.BeginReply{Verdict: messenger.BeginReply_ELSEWHERE}, nil
--- a/standin/store.go
+++ b/standin/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -62,8 +61,11 @@
 
 func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
 
-// ErrLost is the cause of a lost answer.
-var ErrLost = errors.New("no answer came")
+// SilenceError is the cause of a lost answer.
+type SilenceError struct{}
+
+// Error describes the failure.
+func (*SilenceError) Error() string { return "no answer came" }
 
 // SetFault sets what happens to calls from now on; nil does all.
 func (s *Store) SetFault(fault func(Call) Effect) {
@@ -149,19 +151,19 @@
 	case Refuse:
 		return connector.Appended{}, &connector.RefusedError{Status: 503, Detail: "refused"}
 	case LoseCall:
-		return connector.Appended{}, &connector.LostError{Cause: ErrLost}
+		return connector.Appended{}, &connector.LostError{Cause: &SilenceError{}}
 	case LoseAnswer:
 		h.store.mu.Lock()
 		defer h.store.mu.Unlock()
 		_, _ = h.store.append(p, copied, at) // its answer is lost either way
-		return connector.Appended{}, &connector.LostError{Cause: ErrLost}
+		return connector.Appended{}, &connector.LostError{Cause: &SilenceError{}}
 	case DoLate:
 		h.store.mu.Lock()
 		defer h.store.mu.Unlock()
 		h.store.late = append(h.store.late, func() {
 			_, _ = h.store.append(p, copied, at) // its answer is lost either way
 		})
-		return connector.Appended{}, &connector.LostError{Cause: ErrLost}
+		return connector.Appended{}, &connector.LostError{Cause: &SilenceError{}}
 	}
 	h.store.mu.Lock()
 	defer h.store.mu.Unlock()
@@ -201,7 +203,7 @@
 	case Refuse:
 		return connector.Records{}, &connector.RefusedError{Status: 503, Detail: "refused"}
 	default:
-		return connector.Records{}, &connector.LostError{Cause: ErrLost}
+		return connector.Records{}, &connector.LostError{Cause: &SilenceError{}}
 	}
 	expired := time.NewTimer(wait)
 	defer expired.Stop()
@@ -239,7 +241,7 @@
 	case Refuse:
 		return connector.Newest{}, &connector.RefusedError{Status: 503, Detail: "refused"}
 	default:
-		return connector.Newest{}, &connector.LostError{Cause: ErrLost}
+		return connector.Newest{}, &connector.LostError{Cause: &SilenceError{}}
 	}
 	h.store.mu.Lock()
 	defer h.store.mu.Unlock()
