Cut the largest files by what they hold

keeper.go held the reservation of budgets and the record of turns; the matrix's world held its codec, processes, upstreams and callers; the path's tests their deployment. Moved, not changed; the tests of the three packages pass as before.

--- /dev/null
+++ b/challenger/codec_test.go
@@ -0,0 +1,73 @@
+package challenger_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/exchanger"
+)
+
+// codec is a platform's formats for this package.
+type codec struct{}
+
+// keyed is a keyed record.
+type keyed struct {
+	Key   string
+	Value []byte
+}
+
+func (codec) Split(record []byte) (string, []byte, error) {
+	var k keyed
+	err := json.Unmarshal(record, &k)
+	return k.Key, k.Value, err
+}
+
+func (codec) Join(key string, value []byte) []byte {
+	raw, err := json.Marshal(keyed{key, value})
+	if err != nil {
+		panic(err) // strings and bytes are always encoded
+	}
+	return raw
+}
+
+// Configuration reads a version: one route of each kind, and one that only that
+// version has.
+func (codec) Configuration(_ string, value []byte) (descriptor.Configuration, bool, error) {
+	var version int64
+	if err := json.Unmarshal(value, &version); err != nil {
+		return descriptor.Configuration{}, false, err
+	}
+	route := func(prefix, service string, kind descriptor.Kind) descriptor.Route {
+		return descriptor.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: patience, Attempts: 2,
+			Split: []descriptor.Share{{Service: service, Weight: 1}},
+		}
+	}
+	return descriptor.Configuration{
+		Version: version,
+		Routes: []descriptor.Route{
+			route("/chat/", "chat", descriptor.Stream{Retain: true, Retention: 10 * time.Minute}),
+			route("/once/", "tool", descriptor.Once{}),
+			route(fmt.Sprintf("/v%d/", version), "tool", descriptor.Idempotent{}),
+		},
+		Services: map[string]descriptor.Service{
+			"chat": {Name: "chat", TokensPerEvent: tokensPerEvent}, "tool": {Name: "tool"},
+		},
+	}, true, nil
+}
+
+func (codec) Upstream(_ string, value []byte) (descriptor.Upstream, error) {
+	var u descriptor.Upstream
+	err := json.Unmarshal(value, &u)
+	return u, err
+}
+
+func (codec) Header(d exchanger.Dispatch, u descriptor.Upstream) http.Header {
+	return http.Header{"Id": {d.Request.ID}, "Instance": {u.ID}}
+}
+func (codec) Echo(h http.Header) string             { return h.Get("Id") }
+func (codec) NotRun(status int, h http.Header) bool { return h.Get("Not-Run") != "" || status == 421 }
+func (codec) Genuine(http.Header) bool              { return true }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -10,10 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
-	"github.com/citronpier/citronpier/budgeter"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
-	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/messenger"
 )
 
@@ -129,97 +127,6 @@
 	return reply
 }
 
-const (
-	// storeWait is how long a turn waits for a store that is away: short
-	// outages cost it less than coming again.
-	storeWait = 1200 * time.Millisecond
-	// storeStep is the time between looks.
-	storeStep = 25 * time.Millisecond
-	// recordWait is how long a turn waits for the records of earlier ones.
-	recordWait = 1200 * time.Millisecond
-	// leastRecord is how long a turn waits for them in any case: an append and
-	// some.
-	leastRecord = 50 * time.Millisecond
-	// waitShare is the part of a turn's time, as a divisor, that it may wait:
-	// the rest is needed to run it, or to come again.
-	waitShare = 3
-	// leastTime is the time that a turn needs to run at all.
-	leastTime = 400 * time.Millisecond
-)
-
-// patience returns how long a turn may wait for what would let it run.
-func patience(r *messenger.BeginRequest, most time.Duration) time.Duration {
-	left := time.Duration(r.GetLeft()) * time.Millisecond
-	if left < leastTime {
-		return 0
-	}
-	return min(most, left/waitShare)
-}
-
-// awaitStore reports whether the store is reached, and waits for it for a time.
-func (k *Keeper) awaitStore(ctx context.Context, r *messenger.BeginRequest, now time.Time) bool {
-	until := now.Add(patience(r, storeWait))
-	for {
-		if k.config.Stored(now) {
-			return true
-		}
-		if !now.Before(until) || ctx.Err() != nil {
-			return false
-		}
-		waiter.Sleep(ctx, storeStep)
-		now = time.Now()
-	}
-}
-
-// reserve holds the most of a turn in its program's budget.
-func (k *Keeper) reserve(ctx context.Context, s *shard, r *messenger.BeginRequest, now time.Time) *messenger.BeginReply {
-	if r.GetBudget() <= 0 {
-		// The program names no budget: it has no bound.
-		return &messenger.BeginReply{Verdict: messenger.BeginReply_RESERVED}
-	}
-	ctx, cancel := context.WithTimeout(ctx, max(leastRecord, patience(r, recordWait)))
-	defer cancel()
-	for {
-		verdict, pending, err := s.hold(r, now)
-		if err != nil {
-			return uncertain(err)
-		}
-		switch v := verdict.(type) {
-		case budgeter.Exceeded:
-			k.config.Logger.Info().Str("program", r.GetProgram()).Str("id", r.GetTurn()).Int64("left", v.Left).
-				Int64("most", r.GetMost()).Int64("budget", r.GetBudget()).Msg("budget exceeded")
-			return &messenger.BeginReply{Verdict: messenger.BeginReply_EXCEEDED}
-		case budgeter.Behind:
-			if !k.await(ctx, pending) {
-				return &messenger.BeginReply{
-					Verdict: messenger.BeginReply_UNCERTAIN, Detail: "earlier turns of the program are not recorded yet",
-				}
-			}
-		default:
-			return &messenger.BeginReply{Verdict: messenger.BeginReply_RESERVED}
-		}
-	}
-}
-
-// await reports whether a change got into the store. Where there is none, it
-// waits for a short time.
-func (k *Keeper) await(ctx context.Context, c *change) bool {
-	if c == nil {
-		waiter.Sleep(ctx, firstPause)
-		return ctx.Err() == nil
-	}
-	select {
-	case <-c.done:
-		return c.err == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func uncertain(err error) *messenger.BeginReply {
-	return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: err.Error()}
-}
-
 // find returns the chain that a turn continues, or the reply where there is
 // none to be had.
 func (k *Keeper) find(ctx context.Context, s *shard, r *messenger.BeginRequest) ([]byte, *messenger.BeginReply) {
@@ -304,55 +211,6 @@
 	return &messenger.EndReply{Recorded: true}, nil
 }
 
-// record appends a turn and returns once it is in the store.
-func (s *shard) record(ctx context.Context, r *messenger.EndRequest) error {
-	c := newChange(r.GetProgram(), turnChange{turn: turnRecord(r)})
-	s.mu.Lock()
-	known := s.tree.Has(r.GetTurn())
-	var err error
-	if !known {
-		err = s.submit(c)
-	}
-	s.mu.Unlock()
-	if known || err != nil {
-		return err
-	}
-	select {
-	case <-c.done:
-		return c.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// adopt keeps a chain of another shard until a turn that continues it is
-// recorded here with it.
-func (s *shard) adopt(turn string, chain []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.imported == nil {
-		s.imported = make(map[string][]byte)
-	}
-	s.imported[turn] = chain
-}
-
-// settleLazily has settlements that no append has taken along written.
-func (s *shard) settleLazily() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.flush()
-}
-
-// idle reports whether the shard may be dropped.
-func (s *shard) idle(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Sub(s.used) > shardKept && !s.writing && len(s.queue) == 0
-}
-
-// shardKept is how long a shard that has another home is held for stragglers.
-const shardKept = 20 * time.Second
-
 // Tick drops what is no longer kept, and gives back the allowances of shards
 // that have another home now.
 func (k *Keeper) Tick(now time.Time) {
