Record a turn with its chain, wherever that is kept

Cause (reading the change): a turn that continues one of another shard was recorded without that chain where its home changed between begin and end, where the entry host held the chain itself, or where the home had dropped it. It was then said to be missing (404), though it had been answered whole. Change: the end of a turn finds the chain again where the shard does not have it, and the record carries it; without it the turn does not end as recorded. TestChainOfAnotherShardIsRecorded (MISSING in both cases) and TestNoRecordWithoutItsChain fail before.

--- a/historian/tree.go
+++ b/historian/tree.go
@@ -105,6 +105,15 @@
 	return text, true
 }
 
+// Whole reports whether the tree holds a turn and all before it.
+func (t *Tree) Whole(id string) bool {
+	n, ok := t.nodes[id]
+	for ok && n.turn.Previous != "" {
+		n, ok = t.nodes[n.turn.Previous]
+	}
+	return ok
+}
+
 // Due returns the turns that were last written before a time, and takes them as
 // written now.
 func (t *Tree) Due(before, now time.Time) []Turn {
--- a/historian/tree_test.go
+++ b/historian/tree_test.go
@@ -35,7 +35,7 @@
 		{"none", "", false},
 	} {
 		got, ok := tree.Chain(c.id)
-		if diff := cmp.Diff(c.want, string(got)); diff != "" || ok != c.ok {
+		if diff := cmp.Diff(c.want, string(got)); diff != "" || ok != c.ok || tree.Whole(c.id) != c.ok {
 			t.Errorf("chain of %s: ok %v (-want +got):\n%s", c.id, ok, diff)
 		}
 	}
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -19,7 +19,11 @@
 type kind interface{ kind() }
 
 // turnChange records a turn that was answered whole, and settles its hold.
-type turnChange struct{ turn *recorder.Turn }
+type turnChange struct {
+	turn *recorder.Turn
+	// origin is the chain of the previous turn, where that is of another shard.
+	origin []byte
+}
 
 // holdChange holds the most of a turn.
 type holdChange struct {
@@ -67,7 +71,7 @@
 	const small = 64
 	switch k := c.kind.(type) {
 	case turnChange:
-		return small + len(k.turn.GetInput()) + len(k.turn.GetOutput())
+		return small + len(k.origin) + len(k.turn.GetInput()) + len(k.turn.GetOutput())
 	case renewChange:
 		return small + len(k.turn.GetInput()) + len(k.turn.GetOutput())
 	default:
@@ -79,7 +83,7 @@
 func (c *change) addTo(b *recorder.ShardBatch, s *shard) {
 	switch k := c.kind.(type) {
 	case turnChange:
-		s.buildTurn(b, k.turn)
+		s.buildTurn(b, k)
 	case renewChange:
 		b.Turns = append(b.Turns, k.turn)
 	case spendChange:
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -133,32 +134,56 @@
 	if r.GetPrevious() == "" || r.GetCached() {
 		return nil, nil
 	}
-	if chain, ok := s.chain(r.GetPrevious()); ok {
+	chain, err := k.locate(ctx, s, r.GetPrevious())
+	var missing *MissingError
+	switch {
+	case err == nil:
+		return chain, nil
+	case errors.As(err, &missing):
+		return nil, &messenger.BeginReply{Verdict: messenger.BeginReply_MISSING}
+	default:
+		return nil, uncertain(err)
+	}
+}
+
+// MissingError says that no shard has a turn: each was read to its end.
+type MissingError struct{ Turn string }
+
+// Error describes the failure.
+func (e *MissingError) Error() string { return "no shard has turn " + e.Turn }
+
+// SearchError says that not every shard could be searched for a turn.
+type SearchError struct{ Turn string }
+
+// Error describes the failure.
+func (e *SearchError) Error() string { return "not every shard could be searched for turn " + e.Turn }
+
+// locate returns the chain of a turn, wherever it is kept.
+func (k *Keeper) locate(ctx context.Context, s *shard, turn string) ([]byte, error) {
+	if chain, ok := s.chain(turn); ok {
 		return chain, nil
 	}
 	if err := s.refresh(ctx); err != nil {
-		return nil, uncertain(err)
+		return nil, err
 	}
-	if chain, ok := s.chain(r.GetPrevious()); ok {
+	if chain, ok := s.chain(turn); ok {
 		return chain, nil
 	}
-	chain, found, certain := k.search(ctx, s, r)
+	chain, found, certain := k.search(ctx, s, turn)
 	switch {
 	case found:
-		s.adopt(r.GetPrevious(), chain)
+		s.adopt(turn, chain)
 		return chain, nil
 	case certain:
-		return nil, &messenger.BeginReply{Verdict: messenger.BeginReply_MISSING}
+		return nil, &MissingError{Turn: turn}
 	default:
-		return nil, &messenger.BeginReply{
-			Verdict: messenger.BeginReply_UNCERTAIN, Detail: "not every shard could be searched",
-		}
+		return nil, &SearchError{Turn: turn}
 	}
 }
 
 // search looks for a turn in all other shards: a new program may continue a
 // turn of another one.
-func (k *Keeper) search(ctx context.Context, s *shard, r *messenger.BeginRequest) (chain []byte, found, certain bool) {
+func (k *Keeper) search(ctx context.Context, s *shard, turn string) (chain []byte, found, certain bool) {
 	var others []int
 	for id := range k.config.Partitions {
 		if k.config.Partitions[id] != s.partition {
@@ -166,7 +191,7 @@
 		}
 	}
 	k.config.Counters.Stages.Add("searched", 1)
-	return k.config.Search(ctx, r.GetPrevious(), others)
+	return k.config.Search(ctx, turn, others)
 }
 
 // Find looks for a turn in shards, each read to its end first.
@@ -205,7 +230,11 @@
 	if err := s.load(ctx); err != nil {
 		return nil, err
 	}
-	if err := s.record(ctx, r); err != nil {
+	origin, err := k.origin(ctx, s, r.GetPrevious())
+	if err != nil {
+		return nil, err
+	}
+	if err := s.record(ctx, r, origin); err != nil {
 		return nil, err
 	}
 	return &messenger.EndReply{Recorded: true}, nil
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -302,6 +302,61 @@
 	})
 }
 
+// far returns a home that finds a turn named far in another shard.
+func (w *world) far(ctx context.Context, name string) *keeper.Keeper {
+	return keeper.New(ctx, keeper.Config{
+		Incarnation: name, Store: w.store.Host(name), Partitions: partitions, RecordBytes: 1 << 10,
+		Home:   func(int, time.Time) bool { return true },
+		Stored: func(time.Time) bool { return true },
+		Search: func(_ context.Context, turn string, _ []int) ([]byte, bool, bool) {
+			return []byte("elsewhere\n"), turn == "far", true
+		},
+		Counters: &counter.Set{}, Logger: zerolog.Nop(),
+	})
+}
+
+// A turn is recorded with its chain of another shard, also at a home that has
+// not let it begin, and where the entry host held the chain itself.
+func TestChainOfAnotherShardIsRecorded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cached bool
+		moved  bool
+	}{
+		{"the home changes in between", false, true},
+		{"the entry host holds the chain", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(ctx context.Context, t *testing.T, w *world) {
+				first := w.far(ctx, "a")
+				last := first
+				if c.moved {
+					last = w.far(ctx, "b")
+				}
+				r := begin("near", "far")
+				r.Cached = c.cached
+				first.Begin(ctx, r, time.Now())
+				if _, err := last.End(ctx, end("near", "far"), time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				reply := w.home(ctx, "later").Begin(ctx, begin("next", "near"), time.Now())
+				if diff := cmp.Diff("elsewhere\nin-near;out-near\n", string(reply.GetChain())); diff != "" {
+					t.Errorf("%s, chain (-want +got):\n%s", reply.GetVerdict(), diff)
+				}
+			})
+		})
+	}
+}
+
+// A turn whose previous one is known nowhere does not end as recorded.
+func TestNoRecordWithoutItsChain(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, w *world) {
+		if _, err := w.far(ctx, "a").End(ctx, end("near", "unknown"), time.Now()); err == nil {
+			t.Error("a turn without its chain was recorded")
+		}
+	})
+}
+
 // What is still kept outlives the store's retention: turns, and what a program
 // has spent.
 func TestRecordsOutliveTheStoresRetention(t *testing.T) {
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -7,9 +7,31 @@
 	"github.com/citronpier/citronpier/messenger"
 )
 
-// record appends a turn and returns once it is in the store.
-func (s *shard) record(ctx context.Context, r *messenger.EndRequest) error {
-	c := newChange(r.GetProgram(), turnChange{turn: turnRecord(r)})
+// origin returns the chain that has to be recorded with a turn that continues
+// one of another shard; nil where the previous turn is in this one. The home may
+// not have let the turn begin, and the entry host may have held the chain.
+func (k *Keeper) origin(ctx context.Context, s *shard, previous string) ([]byte, error) {
+	if previous == "" || s.whole(previous) {
+		return nil, nil
+	}
+	chain, err := k.locate(ctx, s, previous)
+	if err != nil || s.whole(previous) {
+		return nil, err
+	}
+	return chain, nil
+}
+
+// whole reports whether the shard itself has a turn and all before it.
+func (s *shard) whole(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tree.Whole(id)
+}
+
+// record appends a turn, with its chain where that is of another shard, and
+// returns once it is in the store.
+func (s *shard) record(ctx context.Context, r *messenger.EndRequest, origin []byte) error {
+	c := newChange(r.GetProgram(), turnChange{turn: turnRecord(r), origin: origin})
 	s.mu.Lock()
 	known := s.tree.Has(r.GetTurn())
 	var err error
@@ -28,8 +50,8 @@
 	}
 }
 
-// adopt keeps a chain of another shard until a turn that continues it is
-// recorded here with it.
+// adopt keeps a chain of another shard, so that it need not be searched again
+// when a turn that continues it ends.
 func (s *shard) adopt(turn string, chain []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -136,16 +136,18 @@
 	return b, s.end, err
 }
 
-func (s *shard) buildTurn(message *recorder.ShardBatch, t *recorder.Turn) {
-	if s.tree.Has(t.GetId()) {
+// buildTurn adds the record of a turn, and of its chain where that is of another
+// shard.
+func (s *shard) buildTurn(message *recorder.ShardBatch, c turnChange) {
+	if s.tree.Has(c.turn.GetId()) {
 		return
 	}
-	if text, ok := s.imported[t.GetPrevious()]; ok && !s.tree.Has(t.GetPrevious()) {
+	if previous := c.turn.GetPrevious(); c.origin != nil && !s.tree.Has(previous) {
 		message.Turns = append(message.Turns, &recorder.Turn{
-			Id: t.GetPrevious(), Input: text, Retention: t.GetRetention(),
+			Id: previous, Input: c.origin, Retention: c.turn.GetRetention(),
 		})
 	}
-	message.Turns = append(message.Turns, t)
+	message.Turns = append(message.Turns, c.turn)
 }
 
 // append repeats one append until its fate is known. It is done where the
