Send no further upstream what its caller has left

Cause (reading the change): a request that may run once is cut loose from its caller so that an upstream at work is not broken off; the loop over upstreams was cut loose with it and offered the request to the next one after a refusal. TestCallerThatLeavesGetsNoFurtherSend fails before (200, two arrivals). The time of a request at a service is measured from its send, not from its arrival: waiting for a home had made every upstream look slow.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -36,8 +36,11 @@
 	began    time.Time
 	deadline time.Time
 
-	// upstream is the one that was sent the request last.
+	// caller ends when the caller leaves.
+	caller context.Context
+	// upstream is the one that was sent the request last, at the time sentAt.
 	upstream descriptor.Upstream
+	sentAt   time.Time
 	// sent says that the request may have run.
 	sent bool
 	// runs counts the upstreams that may have run the request.
@@ -101,6 +104,9 @@
 		if o := e.ended(ctx); o != nil {
 			return nil, o
 		}
+		if o := e.ended(e.caller); o != nil {
+			return nil, o
+		}
 		now := time.Now()
 		u, ok := e.pick(now)
 		if !ok {
@@ -119,6 +125,7 @@
 // sendTo writes the request to one upstream.
 func (e *exchange) sendTo(ctx context.Context, u descriptor.Upstream, after string, now time.Time) (*exchanger.Answer, error) {
 	e.upstream = u
+	e.sentAt = now
 	e.sends++
 	e.config.Counters.Reached(counter.StageDispatched)
 	e.config.Board.Begin(u, e.request.Prefix)
@@ -198,9 +205,6 @@
 // call serves a request that is answered as a whole.
 func (e *exchange) call(ctx context.Context) Outcome {
 	if _, once := e.route.Kind.(descriptor.Once); once {
-		if ctx.Err() != nil {
-			return e.ended(ctx)
-		}
 		// A request that may run once is not broken off when its caller leaves.
 		limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.deadline)
 		defer cancel()
@@ -235,7 +239,7 @@
 // close ends an answer and counts the request as ended.
 func (e *exchange) close(answer *exchanger.Answer) {
 	answer.Close()
-	e.config.Board.End(e.upstream, time.Since(e.began))
+	e.config.Board.End(e.upstream, time.Since(e.sentAt))
 }
 
 // deliver passes on an answer that was read, and the rest where there is more.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -103,6 +103,7 @@
 	}
 	limited, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
+	e.caller = limited
 	switch kind := route.Kind.(type) {
 	case descriptor.Stream:
 		return e.stream(limited, kind)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -370,6 +370,29 @@
 	}
 }
 
+// A request that may run once goes on at the upstream that has it when its caller
+// leaves, and to no further one.
+func TestCallerThatLeavesGetsNoFurtherSend(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	leaves := func(c net.Conn, r *http.Request) bool {
+		cancel()
+		return notRun(c, r)
+	}
+	w := newWorld()
+	far := w.upstream(t, "u1", whole)
+	far.DataCentre = "far"
+	w.start(t, descriptor.Once{}, 1, w.upstream(t, "u0", leaves), far)
+	var s sink
+	o := w.forwarder.Serve(ctx, request(), &s, time.Now())
+	arrived, _ := w.seen()
+	if r, ok := o.(forwarder.Refused); !ok || r.Refusal.Reason != refuser.Gone {
+		t.Errorf("outcome %v", o)
+	}
+	if diff := cmp.Diff([]string{"u0:"}, arrived); diff != "" {
+		t.Errorf("arrivals (-want +got):\n%s", diff)
+	}
+}
+
 // A request whose time is over is told so, with what is known of its run.
 func TestTimeIsOver(t *testing.T) {
 	release := make(chan struct{})
