Choose upstreams by how requests end there

Cause: an upstream that fails part of its requests, never answers them or has turned slow was avoided for 300 ms after a failure and then chosen as before; what hangs was found at the caller's deadline only, and an upstream's own 500 counted as well served, so a session stayed where it failed.

Choice adds the time that a failure costs. An idempotent request whose answer does not begin in four times the usual time (300 ms at least, half of its time at most) goes on at another upstream, and so does one that was answered with 500; the 500 is passed on if none does better.

Ruled out: a longer time of avoidance, which takes most upstreams out where most lose an answer now and then.

--- a/counter/counter.go
+++ b/counter/counter.go
@@ -43,6 +43,8 @@
 	RetryHome     Retry = "home"     // a host that is home could not be reached
 	RetryRefused  Retry = "refused"  // the upstream did not run the request
 	RetryUnsent   Retry = "unsent"   // no connection to the upstream was made
+	RetryOverdue  Retry = "overdue"  // the answer did not begin in its time
+	RetryFailed   Retry = "failed"   // the upstream answered that it failed
 )
 
 // Stage is a step that calls pass.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -22,6 +22,8 @@
 	Urgency int
 	// After is the last event that the caller has of a stream that goes on here.
 	After string
+	// Begin is how long the answer may take to begin; 0 is no limit.
+	Begin time.Duration
 }
 
 // Codec spells the system's own fields of a request and reads those of an
@@ -66,6 +68,12 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// OverdueError says that an answer did not begin in its time.
+type OverdueError struct{ After time.Duration }
+
+// Error describes the failure.
+func (e *OverdueError) Error() string { return fmt.Sprintf("no answer began within %s", e.After) }
+
 // Stats counts what happened to connections. It is safe for concurrent use.
 type Stats struct {
 	Opened  atomic.Int64
@@ -109,7 +117,7 @@
 		return nil, &connector.UnsentError{Upstream: u.ID, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
-	answer, err := e.exchange(c, u, d)
+	answer, err := e.begin(c, u, d)
 	if err == nil {
 		answer.stop = stop
 		return answer, nil
@@ -122,6 +130,25 @@
 	return nil, err
 }
 
+// begin sends a request and breaks it off when its answer is overdue.
+func (e *Exchanger) begin(c *conn, u descriptor.Upstream, d Dispatch) (*Answer, error) {
+	if d.Begin <= 0 {
+		return e.exchange(c, u, d)
+	}
+	overdue := time.AfterFunc(d.Begin, c.interrupt)
+	answer, err := e.exchange(c, u, d)
+	if overdue.Stop() {
+		return answer, err
+	}
+	c.unfinished = true
+	var notRun *NotRunError
+	var unsent *connector.UnsentError
+	if errors.As(err, &notRun) || errors.As(err, &unsent) {
+		return nil, err
+	}
+	return nil, &BrokenError{Upstream: u.ID, Cause: &OverdueError{After: d.Begin}}
+}
+
 func (e *Exchanger) exchange(c *conn, u descriptor.Upstream, d Dispatch) (*Answer, error) {
 	c.unfinished = true
 	writing := c.start(d.Request, e.codec.Header(d, u))
--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"container/list"
 	"sync"
 	"time"
 
@@ -19,6 +20,10 @@
 	smoothing = 16
 	// avoided is how long an upstream that failed a request is avoided.
 	avoided = 300 * time.Millisecond
+	// overdueLeast is the shortest time after which an answer that has not begun
+	// is overdue, and overdueTimes how many times the usual time it may take.
+	overdueLeast = 300 * time.Millisecond
+	overdueTimes = 4
 )
 
 // Board holds what this host knows of the upstreams from the requests that it
@@ -26,8 +31,32 @@
 type Board struct {
 	mu        sync.Mutex
 	upstreams map[string]*place
-	// service has the smoothed time of a request at each service.
+	// service has the smoothed time of a request at each service, and first that
+	// until its answer begins.
 	service map[string]time.Duration
+	first   map[string]time.Duration
+}
+
+// result is how a request at an upstream ended.
+type result int
+
+const (
+	// unknown says nothing of the upstream: it did not take the request, or the
+	// caller left.
+	unknown result = iota
+	// served is an answer that the upstream ended.
+	served
+	// failed is anything else.
+	failed
+)
+
+// visit is a request under way at an upstream.
+type visit struct {
+	place    *place
+	upstream descriptor.Upstream
+	sentAt   time.Time
+	// waiting is the visit's element of its place's list until the answer begins.
+	waiting *list.Element
 }
 
 // place is what is known of one upstream.
@@ -38,7 +67,23 @@
 	parts *lru.Cache[string, int64]
 	born  int64
 	// avoid is until when the upstream is given nothing if another can take it.
-	avoid time.Time
+	avoid  time.Time
+	health health
+	// waiting has the times at which requests were sent whose answers have not
+	// begun, in order.
+	waiting list.List
+}
+
+// overdue returns how many requests wait for longer than a time.
+func (p *place) overdue(after time.Duration, now time.Time) int {
+	count := 0
+	for e := p.waiting.Front(); e != nil; e = e.Next() {
+		if sent, ok := e.Value.(time.Time); !ok || now.Sub(sent) < after {
+			break
+		}
+		count++
+	}
+	return count
 }
 
 // place returns the place of an upstream. It needs mu to be held.
@@ -62,8 +107,8 @@
 	return next
 }
 
-// Begin counts a request as under way at an upstream.
-func (b *Board) Begin(u descriptor.Upstream, prefix []descriptor.PromptPart) {
+// begin counts a request as under way at an upstream.
+func (b *Board) begin(u descriptor.Upstream, prefix []descriptor.PromptPart, now time.Time) *visit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.place(u)
@@ -71,31 +116,75 @@
 	for _, part := range prefix {
 		p.parts.Add(part.ID, part.Tokens)
 	}
+	return &visit{place: p, upstream: u, sentAt: now, waiting: p.waiting.PushBack(now)}
+}
+
+// answered notes that the answer to a request has begun.
+func (b *Board) answered(v *visit, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v.arrive()
+	if b.first == nil {
+		b.first = make(map[string]time.Duration)
+	}
+	smooth(b.first, v.upstream.Service, now.Sub(v.sentAt))
+}
+
+// arrive takes a visit off the list of those that wait.
+func (v *visit) arrive() {
+	if v.waiting != nil {
+		v.place.waiting.Remove(v.waiting)
+		v.waiting = nil
+	}
 }
 
-// End counts a request as ended. A time of 0 was not measured.
-func (b *Board) End(u descriptor.Upstream, took time.Duration) {
+// end counts a request as ended. One that was broken off when it was overdue
+// has failed.
+func (b *Board) end(v *visit, r result, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.place(u).running--
-	if took <= 0 {
-		return
+	if v.waiting != nil && r == unknown && now.Sub(v.sentAt) >= b.overdueAfter(v.upstream.Service) {
+		r = failed
 	}
-	if b.service == nil {
-		b.service = make(map[string]time.Duration)
+	v.arrive()
+	p := b.place(v.upstream)
+	p.running--
+	switch r {
+	case served:
+		if b.service == nil {
+			b.service = make(map[string]time.Duration)
+		}
+		took := now.Sub(v.sentAt)
+		usual := smooth(b.service, v.upstream.Service, took)
+		p.health = p.health.WithResult(false, now).WithTime(float64(took)/float64(max(usual, 1)), now)
+	case failed:
+		p.health = p.health.WithResult(true, now)
+		p.avoid = now.Add(avoided)
 	}
-	old, ok := b.service[u.Service]
+}
+
+// smooth moves the time of a service towards a new one, and returns it.
+func smooth(times map[string]time.Duration, service string, took time.Duration) time.Duration {
+	old, ok := times[service]
 	if !ok {
 		old = firstService
 	}
-	b.service[u.Service] = old + (took-old)/smoothing
+	times[service] = old + (took-old)/smoothing
+	return times[service]
+}
+
+// overdueAfter returns how long an answer of a service may take to begin. It
+// needs mu to be held.
+func (b *Board) overdueAfter(service string) time.Duration {
+	return max(overdueLeast, overdueTimes*b.first[service])
 }
 
-// Avoid keeps requests away from an upstream that failed one.
-func (b *Board) Avoid(u descriptor.Upstream, now time.Time) {
+// OverdueAfter returns how long an answer of a service may take to begin before
+// something seems wrong with its upstream.
+func (b *Board) OverdueAfter(service string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.place(u).avoid = now.Add(avoided)
+	return b.overdueAfter(service)
 }
 
 // Running returns the requests under way at each upstream, by the hash of its id.
--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -62,7 +62,7 @@
 	}
 	return router.Candidate{
 		Upstream: u,
-		Wait:     b.wait(u, p.running+c.others[p.hash]),
+		Wait:     b.wait(u, p.running+c.others[p.hash]) + p.health.cost(p.overdue(b.overdueAfter(u.Service), now), b.usual(u.Service), now),
 		Cached:   cached,
 		Broken:   now.Before(p.avoid),
 	}
@@ -71,12 +71,17 @@
 // wait returns the time that a request loses at an upstream which has others
 // under way.
 func (b *Board) wait(u descriptor.Upstream, running int) time.Duration {
-	service, ok := b.service[u.Service]
-	if !ok {
-		service = firstService
-	}
+	service := b.usual(u.Service)
 	slots := max(1, u.Slots)
 	slower := service * time.Duration(min(running, slots)) / time.Duration(slots*crowding)
 	queued := max(0, running+1-slots)
 	return slower + service*time.Duration(queued)/time.Duration(slots)
 }
+
+// usual returns the usual time of a request at a service.
+func (b *Board) usual(service string) time.Duration {
+	if usual, ok := b.service[service]; ok {
+		return usual
+	}
+	return firstService
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,9 +39,9 @@
 
 	// caller ends when the caller leaves.
 	caller context.Context
-	// upstream is the one that was sent the request last, at the time sentAt.
+	// upstream is the one that was sent the request last, and visit its stay there.
 	upstream descriptor.Upstream
-	sentAt   time.Time
+	visit    *visit
 	// sent says that the request may have run.
 	sent bool
 	// runs counts the upstreams that may have run the request.
@@ -125,26 +126,46 @@
 // sendTo writes the request to one upstream.
 func (e *exchange) sendTo(ctx context.Context, u descriptor.Upstream, after string, now time.Time) (*exchanger.Answer, error) {
 	e.upstream = u
-	e.sentAt = now
 	e.sends++
 	e.config.Counters.Reached(counter.StageDispatched)
-	e.config.Board.Begin(u, e.request.Prefix)
+	e.visit = e.config.Board.begin(u, e.request.Prefix, now)
 	answer, err := e.config.Exchanger.Send(ctx, u, exchanger.Dispatch{
 		Request: e.request,
 		Left:    e.left(now),
 		Urgency: e.route.Rank,
 		After:   after,
+		Begin:   e.beginIn(now),
 	}, now)
 	if err != nil {
-		e.config.Board.End(u, 0)
+		e.config.Board.end(e.visit, e.sendResult(ctx, err), time.Now())
+		return nil, err
 	}
-	return answer, err
+	e.config.Board.answered(e.visit, time.Now())
+	return answer, nil
+}
+
+// beginIn returns how long an answer may take to begin before the request goes
+// on at another upstream; 0 is no limit.
+func (e *exchange) beginIn(now time.Time) time.Duration {
+	if _, idempotent := e.route.Kind.(descriptor.Idempotent); !idempotent || e.runs+1 >= e.route.Attempts {
+		return 0
+	}
+	// Half of the time is left for the other upstream.
+	return min(e.config.Board.OverdueAfter(e.service.Name), e.left(now)/2)
+}
+
+// sendResult says what a failed send tells of its upstream.
+func (e *exchange) sendResult(ctx context.Context, err error) result {
+	var notRun *exchanger.NotRunError
+	if ctx.Err() != nil || errors.As(err, &notRun) {
+		return unknown
+	}
+	return failed
 }
 
 // failed notes a failed send. It returns the outcome where the request must
 // not be sent again.
 func (e *exchange) failed(ctx context.Context, u descriptor.Upstream, err error) Outcome {
-	now := time.Now()
 	e.tried = withTried(e.tried, u.ID)
 	var unsent *connector.UnsentError
 	var notRun *exchanger.NotRunError
@@ -155,9 +176,6 @@
 		e.config.Counters.Retried(counter.RetryRefused)
 		return nil
 	case errors.As(err, &unsent):
-		if ctx.Err() == nil {
-			e.config.Board.Avoid(u, now)
-		}
 		event.Msg("upstream was not reached")
 		e.config.Counters.Retried(counter.RetryUnsent)
 		return nil
@@ -167,15 +185,23 @@
 	if o := e.ended(ctx); o != nil {
 		return o
 	}
-	e.config.Board.Avoid(u, now)
 	event.Msg("upstream broke off")
 	if e.repeatable() {
-		e.config.Counters.Retried(counter.RetryUpstream)
+		e.config.Counters.Retried(retryReason(err))
 		return nil
 	}
 	return refuse(refuser.New(refuser.Lost, "the answer was lost: %w", err).WithRun(descriptor.RunUnknown))
 }
 
+// retryReason says why a request that may have run is sent again.
+func retryReason(err error) counter.Retry {
+	var overdue *exchanger.OverdueError
+	if errors.As(err, &overdue) {
+		return counter.RetryOverdue
+	}
+	return counter.RetryUpstream
+}
+
 // repeatable reports whether the request may run on one more upstream.
 func (e *exchange) repeatable() bool {
 	_, idempotent := e.route.Kind.(descriptor.Idempotent)
@@ -210,14 +236,24 @@
 		defer cancel()
 		ctx = limited
 	}
+	// own has an upstream's own failure, which is passed on if no other upstream
+	// does better.
+	var own *plainAnswer
 	for {
 		answer, o := e.send(ctx, "")
+		if o != nil && own != nil {
+			return e.deliver(own.answer, own.whole, false)
+		}
 		if o != nil {
 			return o
 		}
-		whole, rest, err := e.readWhole(answer)
+		whole, more, err := e.readWhole(ctx, answer)
+		if err == nil && !more && e.better(answer.Status) {
+			own = &plainAnswer{answer: answer, whole: whole}
+			continue
+		}
 		if err == nil {
-			return e.deliver(answer, whole, rest)
+			return e.deliver(answer, whole, more)
 		}
 		if o := e.failed(ctx, e.upstream, err); o != nil {
 			return o
@@ -225,21 +261,54 @@
 	}
 }
 
+// plainAnswer is an answer that was read whole.
+type plainAnswer struct {
+	answer *exchanger.Answer
+	whole  []byte
+}
+
+// better reports whether another upstream may do better than to fail a request,
+// and counts the run of the one that failed it.
+func (e *exchange) better(status int) bool {
+	if status != http.StatusInternalServerError {
+		return false
+	}
+	e.sent = true
+	e.runs++
+	e.tried = withTried(e.tried, e.upstream.ID)
+	if !e.repeatable() {
+		return false
+	}
+	e.config.Logger.Info().Str("id", e.request.ID).Str("upstream", e.upstream.ID).Int64("listed", e.upstream.Beat).
+		Int("status", status).Msg("upstream failed the request, asking another")
+	e.config.Counters.Retried(counter.RetryFailed)
+	return true
+}
+
 // readWhole reads an answer up to a limit. It closes the answer unless there
 // is more.
-func (e *exchange) readWhole(answer *exchanger.Answer) (whole []byte, more bool, err error) {
+func (e *exchange) readWhole(ctx context.Context, answer *exchanger.Answer) (whole []byte, more bool, err error) {
 	whole, err = io.ReadAll(io.LimitReader(answer, wholeAnswer))
 	if err == nil && len(whole) == wholeAnswer {
 		return whole, true, nil
 	}
-	e.close(answer)
+	e.close(ctx, answer, err)
 	return whole, false, err
 }
 
-// close ends an answer and counts the request as ended.
-func (e *exchange) close(answer *exchanger.Answer) {
+// close ends an answer that was read to its end or up to a failure, and counts
+// the request as ended.
+func (e *exchange) close(ctx context.Context, answer *exchanger.Answer, err error) {
 	answer.Close()
-	e.config.Board.End(e.upstream, time.Since(e.sentAt))
+	r := served
+	var callers *sinkError
+	switch {
+	case errors.As(err, &callers) || (err != nil && ctx.Err() != nil):
+		r = unknown
+	case err != nil || answer.Status >= http.StatusInternalServerError:
+		r = failed
+	}
+	e.config.Board.end(e.visit, r, time.Now())
 }
 
 // deliver passes on an answer that was read, and the rest where there is more.
@@ -250,12 +319,15 @@
 	}
 	e.firstByte = time.Now()
 	e.sink.Head(answer.Status, answer.Header, length)
-	err := e.sink.Body(whole)
+	var err error
+	if sinkErr := e.sink.Body(whole); sinkErr != nil {
+		err = &sinkError{cause: sinkErr}
+	}
 	if more {
-		defer e.close(answer)
 		if err == nil {
 			err = e.pass(answer)
 		}
+		e.close(e.caller, answer, err)
 	}
 	if err != nil {
 		return Cut{Refusal: refuser.New(refuser.Cut, "the answer could not be passed on: %w", err).WithRun(descriptor.RunYes)}
@@ -270,7 +342,7 @@
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			if err := e.sink.Body(buffer[:n]); err != nil {
-				return err
+				return &sinkError{cause: err}
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -53,6 +53,18 @@
 	return true
 }
 
+// hangs answers nothing until the connection ends.
+func hangs(c net.Conn, _ *http.Request) bool {
+	_, _ = c.Read(make([]byte, 1))
+	return false
+}
+
+// late answers after an idempotent request would have been broken off.
+func late(c net.Conn, r *http.Request) bool {
+	time.Sleep(400 * time.Millisecond)
+	return whole(c, r)
+}
+
 func breaks(net.Conn, *http.Request) bool { return false }
 
 func short(c net.Conn, r *http.Request) bool {
@@ -254,6 +266,11 @@
 		{"an idempotent request is sent again", idempotent, 2, [][]script{{breaks}, {whole}}, "200", "ok", []string{"u0:", "u1:"}},
 		{"an idempotent answer cut short is read again", idempotent, 2, [][]script{{short}, {whole}}, "200", "ok", []string{"u0:", "u1:"}},
 		{"up to its attempts", idempotent, 1, [][]script{{breaks}, {whole}}, "lost 502 unknown", "", []string{"u0:"}},
+		{"one that an upstream fails is sent to another", idempotent, 2, [][]script{{failed}, {whole}}, "200", "ok", []string{"u0:", "u1:"}},
+		{"a failure is passed on where no other upstream does better", idempotent, 2, [][]script{{failed}, {notRun}}, "500", "bad", []string{"u0:", "u1:"}},
+		{"a failure is passed on once the attempts are used", idempotent, 1, [][]script{{failed}, {whole}}, "500", "bad", []string{"u0:"}},
+		{"one whose answer does not begin is sent to another", idempotent, 2, [][]script{{hangs}, {whole}}, "200", "ok", []string{"u0:", "u1:"}},
+		{"a once request whose answer begins late is waited for", once, 2, [][]script{{late}, {whole}}, "200", "ok", []string{"u0:"}},
 		{"a stream", plain, 1, [][]script{{events(0)}}, "200", three, []string{"u0:"}},
 		{"a stream that broke off before its header", plain, 1, [][]script{{breaks}, {events(0)}}, "lost 502 unknown", "", []string{"u0:"}},
 		{"a stream that broke off is cut at a whole event", plain, 1, [][]script{{events(2)}, {events(0)}}, "cut cut", three[:32], []string{"u0:"}},
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -38,7 +38,7 @@
 // plain passes on an answer that is not a stream.
 func (e *exchange) plain(ctx context.Context, answer *exchanger.Answer) Outcome {
 	e.sent = true
-	whole, more, err := e.readWhole(answer)
+	whole, more, err := e.readWhole(ctx, answer)
 	if err == nil {
 		return e.deliver(answer, whole, more)
 	}
@@ -57,7 +57,7 @@
 	last := e.request.LastEvent
 	for {
 		err := e.copyEvents(t, answer, &last)
-		e.close(answer)
+		e.close(ctx, answer, err)
 		if err == nil {
 			return e.whole(ctx, t)
 		}
@@ -182,7 +182,7 @@
 		return nil
 	}
 	if answer.Status != http.StatusOK {
-		e.close(answer)
+		e.close(ctx, answer, nil)
 		return nil
 	}
 	return answer
