Tell other hosts which upstreams fail, and measure the pace of events

Each of the seven hosts had to lose a turn at each ill upstream to know it, with 1.9 turns a second from one host to one upstream; and a slow upstream was known when its first slow answer had ended.

Change: heartbeats say the share of requests that fail at an upstream, and how many times longer they take, where that is out of the usual; the word of a host counts as one result. The time between events is measured as they pass, an event for an eighth of a result, since an engine pauses now and then.

What is left are turns that were at an upstream when it turned slow.

A Gossiper knows its own address, so that a heartbeat that arrives makes none.

--- a/entry.go
+++ b/entry.go
@@ -120,7 +120,8 @@
 		Logger:         e.config.Logger,
 	})
 	e.gossiper = gossiper.New(gossiper.Config{
-		Conn: c.Beats, Self: e.beat, Changed: e.peersChanged, Logger: e.config.Logger,
+		Address: c.Host.Peer,
+		Conn:    c.Beats, Self: e.beat, Changed: e.peersChanged, Logger: e.config.Logger,
 	})
 	e.navigator = navigator.New(navigator.Config{
 		Self: c.Host.ID, View: e.homes, Live: e.live, Open: e.home, Counters: &e.counters, Logger: e.config.Logger,
@@ -144,7 +145,7 @@
 		Shards:        len(c.Shards),
 		Configuration: e.watcher.Configuration,
 		Upstreams:     e.watcher.List,
-		Others:        e.othersRunning,
+		Others:        e.othersLoads,
 		Homes:         e.navigator,
 		Exchanger:     e.exchanger,
 		Board:         &e.board,
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -8,6 +8,7 @@
 
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/forwarder"
 	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/locator"
 	"github.com/citronpier/citronpier/messenger"
@@ -28,6 +29,8 @@
 	membersFresh = 50 * time.Millisecond
 	// directoryKeep is how long callers may keep the directory's answer.
 	directoryKeep = 2 * time.Second
+	// percent is what heartbeats tell shares in.
+	percent = 100
 )
 
 // memberCache holds a picture of the hosts for a short time. The zero value is
@@ -39,7 +42,8 @@
 	// requests of callers.
 	homes   locator.View
 	callers locator.View
-	running map[uint64]int
+	// loads has what other hosts say of upstreams, by upstream hash.
+	loads map[uint64]forwarder.Load
 }
 
 func (c *memberCache) invalidate() {
@@ -54,7 +58,7 @@
 		return
 	}
 	c.made = now
-	c.running = make(map[uint64]int)
+	c.loads = make(map[uint64]forwarder.Load)
 	var homes, callers []descriptor.Host
 	if !e.leaving.Load() {
 		homes = append(homes, e.config.Host)
@@ -64,7 +68,7 @@
 	}
 	for _, b := range e.gossiper.Table().Live(now) {
 		for _, r := range b.GetRunning() {
-			c.running[r.GetUpstream()] += int(r.GetRequests())
+			c.loads[r.GetUpstream()] = c.loads[r.GetUpstream()].WithHost(int(r.GetRequests()), float64(r.GetFailing())/percent, float64(r.GetSlow())/percent)
 		}
 		if b.GetLeaving() {
 			continue
@@ -109,12 +113,12 @@
 	return e.members.callers
 }
 
-// othersRunning returns the requests of other hosts under way, by upstream hash.
-func (e *Entry) othersRunning(now time.Time) map[uint64]int {
+// othersLoads returns what other hosts say of upstreams, by upstream hash.
+func (e *Entry) othersLoads(now time.Time) map[uint64]forwarder.Load {
 	e.members.mu.Lock()
 	defer e.members.mu.Unlock()
 	e.members.refresh(e, now)
-	return e.members.running
+	return e.members.loads
 }
 
 // live reports whether another host is heard of.
@@ -134,8 +138,10 @@
 		Config:      e.watcher.Configuration().Version,
 		Stored:      e.relayer.Reaches(time.Now()),
 	}
-	for hash, n := range e.board.Running() {
-		b.Running = append(b.Running, &messenger.Running{Upstream: hash, Requests: int32(n)})
+	for hash, l := range e.board.Loads(time.Now()) {
+		b.Running = append(b.Running, &messenger.Running{
+			Upstream: hash, Requests: int32(l.Running), Failing: int32(l.Failing * percent), Slow: int32(l.Stretch * percent),
+		})
 	}
 	return b
 }
--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -24,6 +24,11 @@
 	// is overdue, and overdueTimes how many times the usual time it may take.
 	overdueLeast = 300 * time.Millisecond
 	overdueTimes = 4
+	// telling is the share of failing requests from which on other hosts are told.
+	telling = 0.1
+	// eventPart is the weight of the time of one event, in results: some pauses
+	// of an engine are usual.
+	eventPart = 0.125
 )
 
 // Board holds what this host knows of the upstreams from the requests that it
@@ -35,6 +40,8 @@
 	// until its answer begins.
 	service map[string]time.Duration
 	first   map[string]time.Duration
+	// pace is the smoothed time between two events of an answer.
+	pace map[string]time.Duration
 }
 
 // result is how a request at an upstream ended.
@@ -57,11 +64,14 @@
 	sentAt   time.Time
 	// waiting is the visit's element of its place's list until the answer begins.
 	waiting *list.Element
+	// paced says that the times between events were measured.
+	paced bool
 }
 
 // place is what is known of one upstream.
 type place struct {
 	hash    uint64
+	service string
 	running int
 	// parts has the prompt parts that were sent to the upstream of late.
 	parts *lru.Cache[string, int64]
@@ -96,7 +106,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	next := &place{hash: xxhash.Sum64String(u.ID), parts: parts, born: u.Born}
+	next := &place{hash: xxhash.Sum64String(u.ID), service: u.Service, parts: parts, born: u.Born}
 	if ok {
 		next.running = p.running
 	}
@@ -127,9 +137,25 @@
 	if b.first == nil {
 		b.first = make(map[string]time.Duration)
 	}
-	smooth(b.first, v.upstream.Service, now.Sub(v.sentAt))
+	smooth(b.first, v.upstream.Service, now.Sub(v.sentAt), firstService)
 }
 
+// passed notes how long each event of an answer took after the one before.
+func (b *Board) passed(v *visit, each time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pace == nil {
+		b.pace = make(map[string]time.Duration)
+	}
+	v.paced = true
+	usual := smooth(b.pace, v.upstream.Service, each, each)
+	p := b.place(v.upstream)
+	p.health = p.health.WithTime(multiple(each, usual), eventPart, now)
+}
+
+// multiple returns how many times the usual time one took.
+func multiple(took, usual time.Duration) float64 { return float64(took) / float64(max(usual, 1)) }
+
 // arrive takes a visit off the list of those that wait.
 func (v *visit) arrive() {
 	if v.waiting != nil {
@@ -155,19 +181,23 @@
 			b.service = make(map[string]time.Duration)
 		}
 		took := now.Sub(v.sentAt)
-		usual := smooth(b.service, v.upstream.Service, took)
-		p.health = p.health.WithResult(false, now).WithTime(float64(took)/float64(max(usual, 1)), now)
+		usual := smooth(b.service, v.upstream.Service, took, firstService)
+		p.health = p.health.WithResult(false, now)
+		if !v.paced {
+			p.health = p.health.WithTime(multiple(took, usual), 1, now)
+		}
 	case failed:
 		p.health = p.health.WithResult(true, now)
 		p.avoid = now.Add(avoided)
 	}
 }
 
-// smooth moves the time of a service towards a new one, and returns it.
-func smooth(times map[string]time.Duration, service string, took time.Duration) time.Duration {
+// smooth moves the time of a service towards a new one, and returns it. Before
+// any was measured it is the given one.
+func smooth(times map[string]time.Duration, service string, took, before time.Duration) time.Duration {
 	old, ok := times[service]
 	if !ok {
-		old = firstService
+		old = before
 	}
 	times[service] = old + (took-old)/smoothing
 	return times[service]
@@ -187,17 +217,54 @@
 	return b.overdueAfter(service)
 }
 
-// Running returns the requests under way at each upstream, by the hash of its id.
-func (b *Board) Running() map[uint64]int {
+// Load is what a host, or several together, say of an upstream.
+type Load struct {
+	// Running is the requests under way.
+	Running int
+	// Failing is the share of requests that fail, summed over the hosts that
+	// found any, and Found is the number of these hosts.
+	Failing float64
+	Found   int
+	// Stretch is how many times longer than usual requests take, summed over the
+	// hosts that found more than is tolerated, and Timed is the number of these.
+	Stretch float64
+	Timed   int
+}
+
+// WithHost returns l with what one more host says; a share or a stretch of 0 is
+// not said.
+func (l Load) WithHost(running int, failing, stretch float64) Load {
+	l.Running += running
+	if failing > 0 {
+		l.Failing += failing
+		l.Found++
+	}
+	if stretch > 0 {
+		l.Stretch += stretch
+		l.Timed++
+	}
+	return l
+}
+
+// Loads returns what this host has to say of upstreams, by the hash of their id.
+func (b *Board) Loads(now time.Time) map[uint64]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	running := make(map[uint64]int)
+	loads := make(map[uint64]Load)
 	for _, p := range b.upstreams {
-		if p.running > 0 {
-			running[p.hash] = p.running
+		failing := p.health.failing(p.overdue(b.overdueAfter(p.service), now), now)
+		if failing < telling {
+			failing = 0
+		}
+		stretch := p.health.slower(now)
+		if stretch <= tolerated {
+			stretch = 0
+		}
+		if p.running > 0 || failing > 0 || stretch > 0 {
+			loads[p.hash] = Load{}.WithHost(p.running, failing, stretch)
 		}
 	}
-	return running
+	return loads
 }
 
 // Prune forgets the upstreams that are no longer listed.
--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -27,8 +27,8 @@
 	held string
 	// tried lists upstreams that did not take this request.
 	tried map[string]bool
-	// others has the requests of other hosts under way, by upstream hash.
-	others map[uint64]int
+	// others has what other hosts say, by upstream hash.
+	others map[uint64]Load
 }
 
 // choose returns the upstream with the lowest expected time, or false where
@@ -60,9 +60,11 @@
 	if u.ID == c.held {
 		cached = max(cached, c.request.Prompt)
 	}
+	others := c.others[p.hash]
+	known := p.health.WithOthers(others, now)
 	return router.Candidate{
 		Upstream: u,
-		Wait:     b.wait(u, p.running+c.others[p.hash]) + p.health.cost(p.overdue(b.overdueAfter(u.Service), now), b.usual(u.Service), now),
+		Wait:     b.wait(u, p.running+others.Running) + known.cost(p.overdue(b.overdueAfter(u.Service), now), b.usual(u.Service), now),
 		Cached:   cached,
 		Broken:   now.Before(p.avoid),
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -41,8 +41,8 @@
 	Configuration func() descriptor.Configuration
 	// Upstreams returns the list; it is false before it was read.
 	Upstreams func() (watcher.List, bool)
-	// Others returns the requests of other hosts under way, by upstream hash.
-	Others    func(now time.Time) map[uint64]int
+	// Others returns what other hosts say of upstreams, by upstream hash.
+	Others    func(now time.Time) map[uint64]Load
 	Homes     Homes
 	Exchanger *exchanger.Exchanger
 	Board     *Board
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -193,7 +193,7 @@
 		Shards:        4,
 		Configuration: func() descriptor.Configuration { return configuration },
 		Upstreams:     func() (watcher.List, bool) { return list, true },
-		Others:        func(time.Time) map[uint64]int { return nil },
+		Others:        func(time.Time) map[uint64]forwarder.Load { return nil },
 		Homes:         w.homes,
 		Exchanger:     exchanger.New(codec{}, exchanger.NewDial(exchanger.UnackedUpstream)),
 		Board:         &forwarder.Board{},
--- a/forwarder/health.go
+++ b/forwarder/health.go
@@ -58,11 +58,23 @@
 	return h
 }
 
-// WithTime returns h with one more time, as a multiple of the usual one.
-func (h health) WithTime(stretch float64, now time.Time) health {
+// WithTime returns h with one more time, as a multiple of the usual one, that
+// counts as a part of a result.
+func (h health) WithTime(stretch, part float64, now time.Time) health {
 	h = h.aged(now)
-	h.stretch += stretch
-	h.timed++
+	h.stretch += stretch * part
+	h.timed += part
+	return h
+}
+
+// WithOthers returns h with what other hosts found. The word of each counts as
+// much as one result.
+func (h health) WithOthers(l Load, now time.Time) health {
+	h = h.aged(now)
+	h.failed += l.Failing
+	h.ended += float64(l.Found)
+	h.stretch += l.Stretch
+	h.timed += float64(l.Timed)
 	return h
 }
 
@@ -74,16 +86,16 @@
 	return (h.failed + late) / (h.ended + late + doubt)
 }
 
-// slow returns how many times the usual time a request is expected to take
-// beyond what is tolerated.
-func (h health) slow(now time.Time) float64 {
+// slower returns how many times the usual time a request is expected to take.
+func (h health) slower(now time.Time) float64 {
 	h = h.aged(now)
-	return max(0, (h.stretch+doubt)/(h.timed+doubt)-tolerated)
+	return (h.stretch + doubt) / (h.timed + doubt)
 }
 
 // cost returns the time that a request is expected to lose by the upstream's
 // health, where one usually takes the given time.
 func (h health) cost(overdue int, usual time.Duration, now time.Time) time.Duration {
 	failing := max(0, h.failing(overdue, now)-harmless)
-	return time.Duration(failing*float64(loss) + h.slow(now)*float64(usual))
+	slow := max(0, h.slower(now)-tolerated)
+	return time.Duration(failing*float64(loss) + slow*float64(usual))
 }
--- a/forwarder/health_test.go
+++ b/forwarder/health_test.go
@@ -157,3 +157,69 @@
 		t.Errorf("share that fails (-want +got):\n%s", diff)
 	}
 }
+
+// What other hosts found keeps requests away before this host has failed any, and
+// one host's word does not outweigh good results of this one.
+func TestWordOfOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := []descriptor.Upstream{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}}
+	var told Board
+	told.end(told.begin(list[0], nil, now), failed, now)
+	word := make(map[uint64]Load)
+	for hash, l := range told.Loads(now) {
+		word[hash] = Load{}.WithHost(l.Running, l.Failing, l.Stretch)
+	}
+	picks := func(b *Board) map[string]bool {
+		picked := make(map[string]bool)
+		for i := range 20 {
+			u, _ := b.choose(list, choice{request: descriptor.Request{ID: fmt.Sprint(i)}, others: word}, now)
+			picked[u.ID] = true
+		}
+		return picked
+	}
+	var fresh, busy Board
+	for range 10 {
+		busy.end(busy.begin(list[0], nil, now), served, now)
+	}
+	got := []map[string]bool{picks(&fresh), picks(&busy)}
+	want := []map[string]bool{{"b": true}, {"a": true, "b": true}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("picked by a new host and by one with good results (-want +got):\n%s", diff)
+	}
+}
+
+// An upstream whose events come slowly is found before its answers end, and other
+// hosts are told.
+func TestSlowEvents(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := []descriptor.Upstream{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}}
+	var b Board
+	for _, u := range list {
+		v := b.begin(u, nil, now)
+		for range 14 {
+			now = now.Add(20 * time.Millisecond)
+			b.passed(v, 20*time.Millisecond, now)
+		}
+		b.end(v, served, now)
+	}
+	slow := b.begin(list[0], nil, now)
+	for range 8 {
+		now = now.Add(100 * time.Millisecond)
+		b.passed(slow, 100*time.Millisecond, now)
+	}
+	b.end(slow, unknown, now)
+	var told Board
+	word := make(map[uint64]Load)
+	for hash, l := range b.Loads(now) {
+		word[hash] = Load{}.WithHost(l.Running, l.Failing, l.Stretch)
+	}
+	for i := range 20 {
+		c := choice{request: descriptor.Request{ID: fmt.Sprint(i)}}
+		own, _ := b.choose(list, c, now)
+		c.others = word
+		other, _ := told.choose(list, c, now)
+		if diff := cmp.Diff([]string{"b", "b"}, []string{own.ID, other.ID}); diff != "" {
+			t.Fatalf("chosen here and where it was told (-want +got):\n%s", diff)
+		}
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -109,10 +109,16 @@
 func (e *exchange) copyEvents(t *turn, answer *exchanger.Answer, last *string) error {
 	var s splitter
 	buffer := make([]byte, streamBuffer)
+	before := time.Now()
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
-			if err := e.passEvents(t, s.push(buffer[:n]), last); err != nil {
+			events := s.push(buffer[:n])
+			if now := time.Now(); len(events) > 0 {
+				e.config.Board.passed(e.visit, now.Sub(before)/time.Duration(len(events)), now)
+				before = now
+			}
+			if err := e.passEvents(t, events, last); err != nil {
 				return err
 			}
 		}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -25,6 +25,8 @@
 type Config struct {
 	// Conn sends and receives heartbeats.
 	Conn net.PacketConn
+	// Address is the host's own in its heartbeats.
+	Address string
 	// Self returns the host's own heartbeat.
 	Self func() *messenger.Beat
 	// Changed is called when a host comes or goes or a configuration is new.
@@ -55,7 +57,7 @@
 
 // Name tells the Gossiper of a host.
 func (g *Gossiper) Name(address string, now time.Time) {
-	if address == g.config.Self().GetAddress() {
+	if address == g.config.Address {
 		return
 	}
 	g.mu.Lock()
@@ -154,7 +156,7 @@
 }
 
 func (g *Gossiper) take(beat *messenger.Beat, now time.Time) {
-	self := g.config.Self().GetAddress()
+	self := g.config.Address
 	if beat.GetAddress() == self || beat.GetAddress() == "" {
 		return
 	}
