Trust resting connections less after one was lost

Change: after a connection failed within 25 ms of its use, none is used that has rested more than half as long as it had; the bound doubles every 2 s. It holds for all upstreams of the host: at 0.2 requests a second from a host to an upstream, one bound for each would learn nothing.

--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -29,6 +29,10 @@
 	skipped bool
 	// expires is when the upstream may close the idle connection.
 	expires time.Time
+	// idleSince is when the connection was given back, and rested how long it was
+	// idle before its last use.
+	idleSince time.Time
+	rested    time.Duration
 }
 
 // interrupt has reads and writes under way fail at once.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 )
@@ -80,6 +83,8 @@
 	Reused  atomic.Int64
 	Stale   atomic.Int64
 	Surplus atomic.Int64
+	// Dropped counts idle connections that failed as soon as they were used.
+	Dropped atomic.Int64
 }
 
 // An Exchanger sends requests to upstreams. It is safe for concurrent use.
@@ -118,6 +123,9 @@
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, err := e.begin(c, u, d)
+	if took := time.Since(now); err != nil && c.used && took < lostSoon && ended(err) {
+		e.pool.lost(c.rested, now)
+	}
 	if err == nil {
 		answer.stop = stop
 		return answer, nil
@@ -130,6 +138,11 @@
 	return nil, err
 }
 
+// ended reports whether a connection was closed or reset by the other end.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)
+}
+
 // begin sends a request and breaks it off when its answer is overdue.
 func (e *Exchanger) begin(c *conn, u descriptor.Upstream, d Dispatch) (*Answer, error) {
 	if d.Begin <= 0 {
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -323,3 +323,25 @@
 	}
 	cancel()
 }
+
+// After an idle connection was lost as it was used, others that rested as long
+// are not used again.
+func TestDroppedIdleConnections(t *testing.T) {
+	const rest = 100 * time.Millisecond
+	u := serve(t, func(c net.Conn, r *http.Request, number int) bool {
+		if number > 0 {
+			return reset(c)
+		}
+		reply(c, r.Header.Get("Id"), "ok")
+		return true
+	})
+	e := exchanger.New(codec{}, exchanger.NewDial(exchanger.UnackedUpstream))
+	var got []string
+	for i := range 4 {
+		got = append(got, send(t, e, u, dispatch(fmt.Sprint(i), http.MethodPost)))
+		time.Sleep(rest)
+	}
+	if diff := cmp.Diff([]string{"ok", "broken", "ok", "ok"}, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+}
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -43,6 +43,8 @@
 	idle  map[key][]*conn
 	// open counts the connections to each upstream, idle ones included.
 	open map[key]int
+	// trust bounds the rest of a connection that is used again.
+	trust trust
 }
 
 // CrowdedError says that this host has as many connections to an upstream as
@@ -71,7 +73,8 @@
 		if !found {
 			return p.connect(ctx, k)
 		}
-		if now.Before(c.expires) && c.quiet() {
+		c.rested = now.Sub(c.idleSince)
+		if now.Before(c.expires) && c.rested <= p.longestRest(now) && c.quiet() {
 			p.stats.Reused.Add(1)
 			return c, nil
 		}
@@ -109,6 +112,20 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), key: k, pool: p}, nil
 }
 
+func (p *pool) longestRest(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.trust.at(now)
+}
+
+// lost notes that a connection was lost when it was used after a rest.
+func (p *pool) lost(rested time.Duration, now time.Time) {
+	p.stats.Dropped.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trust = p.trust.WithLoss(rested, now)
+}
+
 // closed counts a connection as gone.
 func (p *pool) closed(k key) {
 	p.mu.Lock()
@@ -126,7 +143,8 @@
 		return
 	}
 	c.used = true
-	c.expires = time.Now().Add(idleTime(h))
+	c.idleSince = time.Now()
+	c.expires = c.idleSince.Add(idleTime(h))
 	p.mu.Lock()
 	if p.idle == nil {
 		p.idle = make(map[key][]*conn)
