Wait for settings that are being written

Ruled out: a fault of the reload, which keeps the old settings and is logged; the log of the host has the failed start.

A start now waits up to 5 s for a file that is not there or not whole, with one log line; a file that is whole and not valid ends it at once, as before.

--- a/cmd/citronpierd/platform.go
+++ b/cmd/citronpierd/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -25,6 +26,11 @@
 	memoryShare = 70
 	// settingsEvery is the time between looks at the settings file.
 	settingsEvery = 5 * time.Second
+	// settingsRetry is the time between looks at a file that is not whole, and
+	// settingsWait how long a start waits for it: a process that ends is started
+	// again only after a delay.
+	settingsRetry = 50 * time.Millisecond
+	settingsWait  = 5 * time.Second
 )
 
 // platformCommand runs a host with the settings file of the users' platform.
@@ -33,17 +39,33 @@
 		Name:  "platform",
 		Usage: "one entry host on the users' platform, with the platform's settings file",
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			path := platform.SettingsPath()
-			s, err := platform.ReadSettings(path)
-			if err != nil {
-				return &settingError{Detail: err.Error()}
-			}
-			return servePlatform(ctx, path, s)
+			return servePlatform(ctx, platform.SettingsPath())
 		},
 	}
 }
 
-func servePlatform(ctx context.Context, path string, s platform.Settings) error {
+// awaitSettings reads the settings file. It waits for one that is being written.
+func awaitSettings(ctx context.Context, path string, logger zerolog.Logger) (platform.Settings, error) {
+	limited, cancel := context.WithTimeout(ctx, settingsWait)
+	defer cancel()
+	for waiting := false; ; waiting = true {
+		s, err := platform.ReadSettings(path)
+		var settings *platform.SettingsError
+		if err == nil || !errors.As(err, &settings) || settings.Cause == nil {
+			return s, err
+		}
+		if !waiting {
+			logger.Warn().Err(err).Dur("wait_ms", settingsWait).Msg("settings are not whole, waiting")
+		}
+		select {
+		case <-limited.Done():
+			return s, err
+		case <-time.After(settingsRetry):
+		}
+	}
+}
+
+func servePlatform(ctx context.Context, path string) error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
@@ -54,6 +76,10 @@
 	defer func() { _ = writer.Close() }()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	logger = zerolog.New(writer).Level(zerolog.InfoLevel).With().Timestamp().Logger()
+	s, err := awaitSettings(ctx, path, logger)
+	if err != nil {
+		return &settingError{Detail: err.Error()}
+	}
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory * memoryShare / 100)
 	}
--- /dev/null
+++ b/cmd/citronpierd/platform_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+)
+
+const settingsText = `{"node_name":"n","ip":"10.0.0.1","zone":"z",
+"listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2","directory":"10.0.0.1:3"},"port_range":[10,20],
+"platform":{"address":"10.0.0.9:1","parts":2,"record_bytes":65536}}`
+
+// A start waits for settings that are being written, and for no others.
+func TestSettingsThatAreNotWhole(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		// whole is when the file is whole; 0 is never.
+		whole time.Duration
+		want  string
+		took  time.Duration
+	}{
+		{"whole", settingsText, 0, "n", 0},
+		{"half written", settingsText[:40], 2990 * time.Millisecond, "n", 3 * time.Second},
+		{"never whole", settingsText[:40], 0, "unexpected end of JSON input", settingsWait},
+		{"not there", "", 190 * time.Millisecond, "n", 200 * time.Millisecond},
+		{"not valid", strings.Replace(settingsText, `"z"`, `""`, 1), 0, "zone is missing or not valid", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "settings")
+			write := func(text string) {
+				if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+					t.Error(err)
+				}
+			}
+			if c.text != "" {
+				write(c.text)
+			}
+			synctest.Test(t, func(t *testing.T) {
+				if c.whole > 0 {
+					time.AfterFunc(c.whole, func() { write(settingsText) })
+				}
+				began := time.Now()
+				s, err := awaitSettings(t.Context(), path, zerolog.Nop())
+				got := s.Name
+				if err != nil {
+					got = err.Error()
+				}
+				if !strings.HasSuffix(got, c.want) {
+					t.Errorf("got %q, want %q", got, c.want)
+				}
+				if diff := cmp.Diff(c.took, time.Since(began).Truncate(settingsRetry)); diff != "" {
+					t.Errorf("time (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
