Tell a partition that is away from a store that is lost

Change: a Relayer keeps how calls went by partition. The store is reached while another partition than the failing one has answered within 250 ms; a partition that fails meanwhile is away, and no other host is asked for it.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -31,6 +31,9 @@
 	probeEvery = 500 * time.Millisecond
 	// freshness is how long a success counts as reaching the store.
 	freshness = 1500 * time.Millisecond
+	// recent is how long ago one partition must have answered for the failure of
+	// another to be that partition's own.
+	recent = 250 * time.Millisecond
 	// mostRelays is how many other hosts are tried for one call.
 	mostRelays = 2
 )
@@ -57,22 +60,53 @@
 	config Config
 
 	mu sync.Mutex
-	// reached is when the store last answered directly.
-	reached time.Time
-	// failed is when a direct call last failed; zero after a success.
+	// ways has how direct calls went, by partition.
+	ways map[connector.Partition]way
+	// failed is when a direct call last failed.
 	failed time.Time
 	// lost says that the loss of the store was logged.
 	lost bool
 }
 
+// way is how direct calls to one partition went. The zero value knows of none.
+type way struct {
+	// reached is when the store last answered.
+	reached time.Time
+	// failed is when a call last failed; zero after an answer.
+	failed time.Time
+}
+
+// failing reports whether the last call failed, of late.
+func (w way) failing(now time.Time) bool { return !w.failed.IsZero() && now.Sub(w.failed) < freshness }
+
 // New returns a Relayer.
-func New(c Config) *Relayer { return &Relayer{config: c} }
+func New(c Config) *Relayer {
+	return &Relayer{config: c, ways: make(map[connector.Partition]way)}
+}
 
-// Reaches reports whether the store has answered this host of late.
+// Reaches reports whether the store has answered this host of late, at any
+// partition.
 func (r *Relayer) Reaches(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.failed.IsZero() && now.Sub(r.reached) < freshness
+	return r.reaches(now)
+}
+
+// reaches needs mu to be held. Where a partition fails, another one has to have
+// answered just now.
+func (r *Relayer) reaches(now time.Time) bool {
+	within := freshness
+	for _, w := range r.ways {
+		if w.failing(now) {
+			within = recent
+		}
+	}
+	for _, w := range r.ways {
+		if !w.failing(now) && now.Sub(w.reached) < within {
+			return true
+		}
+	}
+	return false
 }
 
 // Available reports whether the store has answered of late, this host or one
@@ -81,28 +115,45 @@
 	return r.Reaches(now) || len(r.config.Relays(now)) > 0
 }
 
+// Away reports whether a partition fails while the store answers otherwise: no
+// host reaches it then.
+func (r *Relayer) Away(p connector.Partition, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ways[p].failing(now) && r.reaches(now)
+}
+
 // tryDirect reports whether a call should go to the store itself.
 func (r *Relayer) tryDirect(relays int, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return relays == 0 || r.failed.IsZero() || now.Sub(r.failed) >= probeEvery
+	return relays == 0 || r.reaches(now) || now.Sub(r.failed) >= probeEvery
 }
 
 // answered notes how a direct call went.
-func (r *Relayer) answered(err error, now time.Time) {
+func (r *Relayer) answered(p connector.Partition, err error, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	old := r.ways[p]
 	if isAnswer(err) {
+		if !old.failed.IsZero() {
+			r.config.Logger.Info().Str("partition", p.String()).Dur("away_ms", now.Sub(old.reached)).Msg("partition is reached again")
+		}
+		r.ways[p] = way{reached: now}
 		if r.lost {
-			r.config.Logger.Info().Dur("away_ms", now.Sub(r.reached)).Msg("store is reached again")
+			r.config.Logger.Info().Str("partition", p.String()).Dur("since_ms", now.Sub(r.failed)).Msg("store is reached again")
 		}
-		r.reached, r.failed, r.lost = now, time.Time{}, false
+		r.lost = false
 		return
 	}
+	r.ways[p] = way{reached: old.reached, failed: now}
 	r.failed = now
-	if !r.lost {
+	if old.failed.IsZero() {
+		r.config.Logger.Warn().Err(err).Str("partition", p.String()).Dur("since_ms", now.Sub(old.reached)).Msg("partition is not reached")
+	}
+	if !r.lost && !r.reaches(now) {
 		r.lost = true
-		r.config.Logger.Warn().Err(err).Dur("since_ms", now.Sub(r.reached)).Msg("store is not reached")
+		r.config.Logger.Warn().Err(err).Str("partition", p.String()).Msg("store is not reached")
 	}
 }
 
@@ -115,7 +166,7 @@
 }
 
 // call makes one call to the store, directly or through another host.
-func call[T any](ctx context.Context, r *Relayer, extra time.Duration,
+func call[T any](ctx context.Context, r *Relayer, p connector.Partition, extra time.Duration,
 	direct func(context.Context) (T, error), relayed func(context.Context, Relay) (T, error),
 ) (T, error) {
 	now := time.Now()
@@ -131,9 +182,9 @@
 		result, err = direct(limited)
 		cancel()
 		if ctx.Err() == nil {
-			r.answered(err, time.Now())
+			r.answered(p, err, time.Now())
 		}
-		if isAnswer(err) || ctx.Err() != nil {
+		if isAnswer(err) || ctx.Err() != nil || r.Away(p, time.Now()) {
 			return result, err
 		}
 	}
@@ -158,7 +209,7 @@
 
 // Append appends records.
 func (r *Relayer) Append(ctx context.Context, p connector.Partition, records [][]byte, at int64) (connector.Appended, error) {
-	return call(ctx, r, 0,
+	return call(ctx, r, p, 0,
 		func(ctx context.Context) (connector.Appended, error) {
 			return r.config.Direct.Append(ctx, p, records, at)
 		},
@@ -175,7 +226,7 @@
 
 // Read reads records.
 func (r *Relayer) Read(ctx context.Context, p connector.Partition, from int64, wait time.Duration) (connector.Records, error) {
-	return call(ctx, r, wait+readExtra,
+	return call(ctx, r, p, wait+readExtra,
 		func(ctx context.Context) (connector.Records, error) {
 			return r.config.Direct.Read(ctx, p, from, wait)
 		},
@@ -191,7 +242,7 @@
 
 // Newest reads the newest record of each key.
 func (r *Relayer) Newest(ctx context.Context, p connector.Partition) (connector.Newest, error) {
-	return call(ctx, r, 0,
+	return call(ctx, r, p, 0,
 		func(ctx context.Context) (connector.Newest, error) { return r.config.Direct.Newest(ctx, p) },
 		func(ctx context.Context, relay Relay) (connector.Newest, error) {
 			reply, err := relay.Mirror.Newest(ctx, &messenger.NewestRequest{Topic: p.Topic, Part: int32(p.Part)})
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -120,3 +120,45 @@
 		}
 	})
 }
+
+// A partition that fails while others answer is told from a store that is lost:
+// no other host is asked for it, and the host still reaches the store.
+func TestPartitionAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		other := connector.Partition{Topic: "t", Part: 1}
+		relayed := 0
+		store := &standin.Store{Fault: func(c standin.Call) standin.Effect {
+			if c.Host == "other" {
+				relayed++
+			}
+			if c.Partition == partition {
+				return standin.Refuse
+			}
+			return standin.Done
+		}}
+		r := newRelayer(store, true)
+		read := func(p connector.Partition) error {
+			_, err := r.Read(t.Context(), p, 0, 0)
+			return err
+		}
+		if err := read(other); err != nil {
+			t.Fatal(err)
+		}
+		if err := read(partition); err == nil {
+			t.Error("a partition that is away was read")
+		}
+		now := time.Now()
+		got := []any{r.Reaches(now), r.Away(partition, now), r.Away(other, now), relayed}
+		if diff := cmp.Diff([]any{true, true, false, 0}, got); diff != "" {
+			t.Errorf("reaches, away, other away, relayed (-want +got):\n%s", diff)
+		}
+		// With no other answer of late it may be the host that is refused.
+		time.Sleep(time.Second)
+		_ = read(partition)
+		now = time.Now()
+		got = []any{r.Reaches(now), r.Away(partition, now), relayed > 0}
+		if diff := cmp.Diff([]any{false, false, true}, got); diff != "" {
+			t.Errorf("later: reaches, away, relayed (-want +got):\n%s", diff)
+		}
+	})
+}
