Record turns in another shard while the partition of their own is away

Change: a home whose append fails while the store answers otherwise says so, and the entry host has the turn recorded, with its chain, in up to three other shards in turn. A turn may continue one of any shard already, so that every home finds it there; while its own partition is away a home searches the others at once, and says 503 and not 404 for what it does not find. Budgets stay with the program's shard: what was recorded before and the unrecorded third; a spill of grants would need two partitions fenced together, and was ruled out. A home that takes a shard over while its partition is away still refuses.

--- a/challenger/row_test.go
+++ b/challenger/row_test.go
@@ -131,6 +131,8 @@
 	{"store is down", func(w *world) { w.storeFault(faults{down: true}) }},
 	{"store refuses the entry host", func(w *world) { w.refuse(w.currentHost()) }},
 	{"store refuses the other hosts", func(w *world) { w.refuse(w.others()...) }},
+	{"store loses a partition", func(w *world) { w.storeFault(faults{partition: shards[0]}) }},
+	{"store loses the other partition", func(w *world) { w.storeFault(faults{partition: shards[1]}) }},
 	{"store loses calls", func(w *world) { w.storeFault(faults{loses: standin.LoseCall}) }},
 	{"store loses answers", func(w *world) { w.storeFault(faults{loses: standin.LoseAnswer}) }},
 	{"store does calls late", func(w *world) { w.storeFault(faults{loses: standin.DoLate}) }},
--- a/challenger/world_test.go
+++ b/challenger/world_test.go
@@ -67,7 +67,9 @@
 type faults struct {
 	down    bool
 	refused map[*process]bool
-	loses   standin.Effect
+	// partition is refused to all; its zero value is none.
+	partition connector.Partition
+	loses     standin.Effect
 }
 
 // seen is what callers and upstreams saw.
@@ -156,7 +158,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.faults.down || w.faults.refused[caller]:
+	case w.faults.down || w.faults.refused[caller] || c.Partition == w.faults.partition:
 		return standin.Refuse
 	case c.Append && turns:
 		return w.faults.loses
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -44,6 +44,7 @@
 	RetryRefused  Retry = "refused"  // the upstream did not run the request
 	RetryUnsent   Retry = "unsent"   // no connection to the upstream was made
 	RetryOverdue  Retry = "overdue"  // the answer did not begin in its time
+	RetryAside    Retry = "aside"    // a turn was recorded in another shard
 	RetryFailed   Retry = "failed"   // the upstream answered that it failed
 )
 
--- a/entry.go
+++ b/entry.go
@@ -134,6 +134,7 @@
 		Retention:   c.Retention,
 		Home:        e.navigator.IsHome,
 		Stored:      e.relayer.Available,
+		Away:        e.relayer.Away,
 		Search:      e.navigator.Search,
 		Counters:    &e.counters,
 		Logger:      e.config.Logger,
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -14,11 +14,13 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/forwarder"
+	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/refuser"
 	"github.com/citronpier/citronpier/watcher"
@@ -112,6 +114,8 @@
 	ended   []*messenger.EndRequest
 	endErr  error
 	settled chan struct{}
+	// away has the shards whose partitions are away.
+	away map[int32]bool
 }
 
 func (h *homes) Begin(context.Context, *messenger.BeginRequest) (*messenger.BeginReply, error) {
@@ -121,11 +125,14 @@
 func (h *homes) End(_ context.Context, r *messenger.EndRequest) (*messenger.EndReply, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ended = append(h.ended, r)
+	h.ended = append(h.ended, proto.CloneOf(r))
 	if h.settled != nil {
 		close(h.settled)
 		h.settled = nil
 	}
+	if h.away[r.GetShard()] && !r.GetPatient() {
+		return &messenger.EndReply{Away: true}, h.endErr
+	}
 	return &messenger.EndReply{Recorded: r.GetRetain()}, h.endErr
 }
 
@@ -327,6 +334,52 @@
 	}
 }
 
+// A turn whose shard is away is recorded in another one, with its chain and
+// without its settlement; where all are away it waits for its own.
+func TestTurnAside(t *testing.T) {
+	type ended struct {
+		Shard   int32
+		Aside   bool
+		Chain   string
+		Patient bool
+	}
+	own := int32(keeper.Shard("p", 4))
+	at := func(i int32) int32 { return (own + i) % 4 }
+	for _, c := range []struct {
+		name string
+		away []int32
+		want []ended
+	}{
+		{"none is away", nil, []ended{{own, false, "", false}}},
+		{"the own is away", []int32{own}, []ended{{own, false, "", false}, {at(3), true, "old\n", false}}},
+		{"all are away", []int32{0, 1, 2, 3}, []ended{
+			{own, false, "", false},
+			{at(3), true, "old\n", false},
+			{at(1), true, "old\n", false},
+			{at(2), true, "old\n", false},
+			{own, false, "", true},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld()
+			w.homes.chain = "old\n"
+			w.homes.away = make(map[int32]bool)
+			for _, shard := range c.away {
+				w.homes.away[shard] = true
+			}
+			w.start(t, retained(), 1, w.upstream(t, "u", events(0)))
+			outcome, _ := w.serve(t, turnRequest())
+			var got []ended
+			for _, r := range w.homes.ended {
+				got = append(got, ended{r.GetShard(), r.GetAside(), string(r.GetChain()), r.GetPatient()})
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" || outcome != "200" {
+				t.Errorf("outcome %s, ends (-want +got):\n%s", outcome, diff)
+			}
+		})
+	}
+}
+
 // The answer of a turn that can't be recorded does not look whole.
 func TestTurnWithoutRecordIsCut(t *testing.T) {
 	w := newWorld()
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/keeper"
@@ -142,7 +144,11 @@
 	r.Input = t.input
 	r.Output = t.output
 	r.Retention = t.kind.Retention.Milliseconds()
-	if _, err := e.config.Homes.End(ctx, r); err != nil {
+	reply, err := e.config.Homes.End(ctx, r)
+	if err == nil && reply.GetAway() {
+		err = e.recordAside(ctx, t, r)
+	}
+	if err != nil {
 		return err
 	}
 	body := e.request.Body
@@ -150,3 +156,43 @@
 	e.remember(e.request.ID, append(append(chain, body...), t.output...))
 	return nil
 }
+
+// recordAside records a turn in another shard while the partition of its own is
+// away. Each host finds it there: a turn may continue one of any shard.
+func (e *exchange) recordAside(ctx context.Context, t *turn, own *messenger.EndRequest) error {
+	chain := e.request.Body[:len(e.request.Body)-len(t.input)]
+	for _, shard := range asideShards(int(own.GetShard()), e.config.Shards) {
+		r := proto.CloneOf(own)
+		r.Shard, r.Aside, r.Chain = int32(shard), true, chain
+		reply, err := e.config.Homes.End(ctx, r)
+		e.config.Logger.Info().Err(err).Str("id", e.request.ID).Str("program", r.GetProgram()).Int32("own", own.GetShard()).
+			Int("shard", shard).Bool("recorded", reply.GetRecorded()).Msg("turn recorded aside")
+		if err == nil && reply.GetRecorded() {
+			e.config.Counters.Retried(counter.RetryAside)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	own.Patient = true
+	_, err := e.config.Homes.End(ctx, own)
+	return err
+}
+
+// asideTries is how many other shards are tried: where a third of the partitions
+// is away, all of these are in one of 27 cases.
+const asideTries = 3
+
+// asideShards returns the shards that take a shard's turns while its partition is
+// away, in order. They are far from it in the list: its neighbours may share its
+// fate.
+func asideShards(own, shards int) []int {
+	var others []int
+	for i := 1; i <= shards && len(others) < asideTries; i++ {
+		if other := (own + shards/2 + i) % shards; other != own {
+			others = append(others, other)
+		}
+	}
+	return others
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -42,6 +42,8 @@
 	Home func(shard int, now time.Time) bool
 	// Stored reports whether the store is reached, by any way.
 	Stored func(now time.Time) bool
+	// Away reports whether a partition fails while the store answers otherwise.
+	Away func(p connector.Partition, now time.Time) bool
 	// Search looks for a turn in shards of which other hosts are home. It
 	// reports whether all of them were searched.
 	Search   func(ctx context.Context, turn string, shards []int) (chain []byte, found, certain bool)
@@ -163,18 +165,24 @@
 	if chain, ok := s.chain(turn); ok {
 		return chain, nil
 	}
-	if err := s.refresh(ctx); err != nil {
-		return nil, err
-	}
-	if chain, ok := s.chain(turn); ok {
-		return chain, nil
+	// While its partition is away, the shard's turns are recorded in others.
+	away := s.isAway()
+	if !away {
+		err := s.refresh(ctx)
+		away = err != nil && k.away(s.partition, time.Now())
+		if err != nil && !away {
+			return nil, err
+		}
+		if chain, ok := s.chain(turn); ok {
+			return chain, nil
+		}
 	}
 	chain, found, certain := k.search(ctx, s, turn)
 	switch {
 	case found:
 		s.adopt(turn, chain)
 		return chain, nil
-	case certain:
+	case certain && !away:
 		return nil, &MissingError{Turn: turn}
 	default:
 		return nil, &SearchError{Turn: turn}
@@ -194,9 +202,10 @@
 	return k.config.Search(ctx, turn, others)
 }
 
-// Find looks for a turn in shards, each read to its end first.
+// Find looks for a turn in shards. Those that do not have it in memory are read
+// to their end.
 func (k *Keeper) Find(ctx context.Context, r *messenger.FindRequest, now time.Time) *messenger.FindReply {
-	reply := &messenger.FindReply{}
+	shards := make(map[int32]*shard)
 	for _, id := range r.GetShards() {
 		s, ok := k.shard(int(id), true, now)
 		if !ok {
@@ -205,6 +214,13 @@
 		if chain, ok := s.chain(r.GetTurn()); ok {
 			return &messenger.FindReply{Found: true, Chain: chain}
 		}
+		shards[id] = s
+	}
+	reply := &messenger.FindReply{}
+	for id, s := range shards {
+		if s.isAway() {
+			continue
+		}
 		if err := s.refresh(ctx); err != nil {
 			k.config.Logger.Debug().Err(err).Int32("shard", id).Msg("shard not searched")
 			continue
@@ -217,27 +233,54 @@
 	return reply
 }
 
-// End settles a turn and, where it is retained, records it.
+// End settles a turn and, where it is retained, records it. Where that can't be
+// done while the shard's partition is away, the reply says so.
 func (k *Keeper) End(ctx context.Context, r *messenger.EndRequest, now time.Time) (*messenger.EndReply, error) {
 	s, ok := k.shard(int(r.GetShard()), r.GetForce(), now)
 	if !ok {
 		return &messenger.EndReply{Elsewhere: true}, nil
 	}
-	s.settle(r, now)
+	if !r.GetAside() {
+		s.settle(r, now)
+	}
 	if !r.GetRetain() {
 		return &messenger.EndReply{}, nil
 	}
-	if err := s.load(ctx); err != nil {
+	if s.isAway() && !r.GetPatient() {
+		return &messenger.EndReply{Away: true}, nil
+	}
+	err := k.keep(ctx, s, r)
+	var away *AwayError
+	switch {
+	case err == nil:
+		return &messenger.EndReply{Recorded: true}, nil
+	case errors.As(err, &away) || (!s.isLoaded() && k.away(s.partition, time.Now())):
+		k.config.Logger.Info().Err(err).Str("id", r.GetTurn()).Str("shard", s.partition.String()).
+			Bool("aside", r.GetAside()).Msg("turn not recorded in its shard")
+		return &messenger.EndReply{Away: true}, nil
+	default:
 		return nil, err
 	}
+}
+
+// keep records a turn, with its chain where that is of another shard.
+func (k *Keeper) keep(ctx context.Context, s *shard, r *messenger.EndRequest) error {
+	if err := s.load(ctx); err != nil {
+		return err
+	}
+	if r.GetAside() {
+		return s.record(ctx, r, s.missing(r))
+	}
 	origin, err := k.origin(ctx, s, r.GetPrevious())
 	if err != nil {
-		return nil, err
-	}
-	if err := s.record(ctx, r, origin); err != nil {
-		return nil, err
+		return err
 	}
-	return &messenger.EndReply{Recorded: true}, nil
+	return s.record(ctx, r, origin)
+}
+
+// away reports whether a partition fails while the store answers otherwise.
+func (k *Keeper) away(p connector.Partition, now time.Time) bool {
+	return k.config.Away != nil && k.config.Away(p, now)
 }
 
 // Tick drops what is no longer kept, and gives back the allowances of shards
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -27,6 +27,8 @@
 type world struct {
 	store standin.Store
 	homes []*keeper.Keeper
+	// away has the partitions that are known to be away.
+	away map[connector.Partition]bool
 }
 
 // home starts a home. All homes believe to be home of every shard.
@@ -38,6 +40,7 @@
 		RecordBytes: 1 << 10,
 		Home:        func(int, time.Time) bool { return true },
 		Stored:      func(time.Time) bool { return true },
+		Away:        func(p connector.Partition, _ time.Time) bool { return w.away[p] },
 		Search:      func(context.Context, string, []int) ([]byte, bool, bool) { return nil, false, true },
 		Counters:    &counter.Set{},
 		Logger:      zerolog.Nop(),
@@ -455,3 +458,104 @@
 		}
 	})
 }
+
+// alone returns a home that is home of all shards and searches them itself.
+func (w *world) alone(ctx context.Context, name string) *keeper.Keeper {
+	var k *keeper.Keeper
+	k = keeper.New(ctx, keeper.Config{
+		Incarnation: name, Store: w.store.Host(name), Partitions: partitions, RecordBytes: 1 << 10,
+		Home:   func(int, time.Time) bool { return true },
+		Stored: func(time.Time) bool { return true },
+		Away:   func(p connector.Partition, _ time.Time) bool { return w.away[p] },
+		Search: func(ctx context.Context, turn string, shards []int) ([]byte, bool, bool) {
+			r := &messenger.FindRequest{Turn: turn}
+			for _, s := range shards {
+				r.Shards = append(r.Shards, int32(s))
+			}
+			reply := k.Find(ctx, r, time.Now())
+			return reply.GetChain(), reply.GetFound(), len(reply.GetCertain()) == len(shards)
+		},
+		Counters: &counter.Set{}, Logger: zerolog.Nop(),
+	})
+	return k
+}
+
+// refuse has the store refuse a partition.
+func (w *world) refuse(p connector.Partition) {
+	w.away = map[connector.Partition]bool{p: true}
+	w.store.SetFault(func(c standin.Call) standin.Effect {
+		if c.Partition == p {
+			return standin.Refuse
+		}
+		return standin.Done
+	})
+}
+
+// While the partition of its shard is away, a turn is recorded in another one with
+// its chain, and every home goes on from there: the same home at once, and others
+// after all hosts have died.
+func TestTurnsAside(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, w *world) {
+		a := w.alone(ctx, "a")
+		turn(ctx, t, a, "1", "")
+		if v := a.Begin(ctx, begin("2", "1"), time.Now()).GetVerdict(); v != messenger.BeginReply_RESERVED {
+			t.Fatalf("begin: %v", v)
+		}
+		w.refuse(partitions[0])
+		reply, err := a.End(ctx, end("2", "1"), time.Now())
+		if diff := cmp.Diff([]bool{true, false}, []bool{reply.GetAway(), reply.GetRecorded()}); diff != "" || err != nil {
+			t.Errorf("end, %v: away, recorded (-want +got):\n%s", err, diff)
+		}
+		aside := end("2", "1")
+		aside.Shard, aside.Aside, aside.Chain = 1, true, []byte("in-1;out-1\n")
+		if reply, err = a.End(ctx, aside, time.Now()); err != nil || !reply.GetRecorded() {
+			t.Fatalf("end aside: %v %v", reply, err)
+		}
+		const want = "in-1;out-1\nin-2;out-2\n"
+		got := []string{string(a.Begin(ctx, begin("3", "2"), time.Now()).GetChain())}
+		w.store.SetFault(nil)
+		w.away = nil
+		got = append(got, string(w.alone(ctx, "later").Begin(ctx, begin("4", "2"), time.Now()).GetChain()))
+		if diff := cmp.Diff([]string{want, want}, got); diff != "" {
+			t.Errorf("chains while it is away and later (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A home that has not appended since its partition went away looks for a turn in
+// other shards as well.
+func TestTurnsAsideAreFound(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, w *world) {
+		a := w.alone(ctx, "a")
+		turn(ctx, t, a, "1", "")
+		w.refuse(partitions[0])
+		aside := end("2", "1")
+		aside.Shard, aside.Aside, aside.Chain = 1, true, []byte("in-1;out-1\n")
+		if reply, err := a.End(ctx, aside, time.Now()); err != nil || !reply.GetRecorded() {
+			t.Fatalf("end aside: %v %v", reply, err)
+		}
+		reply := a.Begin(ctx, begin("3", "2"), time.Now())
+		if diff := cmp.Diff("in-1;out-1\nin-2;out-2\n", string(reply.GetChain())); diff != "" {
+			t.Errorf("%v, chain (-want +got):\n%s", reply, diff)
+		}
+		if v := a.Begin(ctx, begin("4", "unknown"), time.Now()).GetVerdict(); v != messenger.BeginReply_UNCERTAIN {
+			t.Errorf("a turn that may be in the partition that is away: %v", v)
+		}
+	})
+}
+
+// A turn that waits with patience is recorded in its own shard when that is back.
+func TestPatientTurn(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, w *world) {
+		a := w.home(ctx, "a")
+		turn(ctx, t, a, "1", "")
+		w.refuse(partitions[0])
+		time.AfterFunc(2*time.Second, func() { w.store.SetFault(nil) })
+		r := end("2", "1")
+		r.Patient = true
+		reply, err := a.End(ctx, r, time.Now())
+		if err != nil || !reply.GetRecorded() {
+			t.Errorf("%v %v", reply, err)
+		}
+	})
+}
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -40,6 +40,9 @@
 	// lazy are changes that go with the next append.
 	lazy    []*change
 	writing bool
+	// away is shut while the partition takes no appends though the store answers
+	// otherwise.
+	away gate
 	// used is when a request last needed the shard.
 	used time.Time
 }
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -28,8 +28,18 @@
 	return s.tree.Whole(id)
 }
 
+// missing returns the part of a request's chain that the shard does not have;
+// nil where it has all.
+func (s *shard) missing(r *messenger.EndRequest) []byte {
+	if r.GetPrevious() == "" || s.whole(r.GetPrevious()) {
+		return nil
+	}
+	return r.GetChain()
+}
+
 // record appends a turn, with its chain where that is of another shard, and
-// returns once it is in the store.
+// returns once it is in the store. It does not wait for a partition that is away
+// unless it is asked to.
 func (s *shard) record(ctx context.Context, r *messenger.EndRequest, origin []byte) error {
 	c := newChange(r.GetProgram(), turnChange{turn: turnRecord(r), origin: origin})
 	s.mu.Lock()
@@ -42,9 +52,15 @@
 	if known || err != nil {
 		return err
 	}
+	var away <-chan struct{}
+	if !r.GetPatient() {
+		away = s.awaySignal()
+	}
 	select {
 	case <-c.done:
 		return c.err
+	case <-away:
+		return &AwayError{Partition: s.partition}
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -161,6 +161,11 @@
 	for ctx.Err() == nil {
 		_, err := s.keeper.config.Store.Append(ctx, s.partition, b.records, at)
 		var moved *connector.MovedError
+		if errors.As(err, &moved) {
+			s.appended(nil, time.Now())
+		} else {
+			s.appended(err, time.Now())
+		}
 		switch {
 		case err == nil:
 			s.mu.Lock()
