--- a/challenger/upstream_test.go
+++ b/challenger/upstream_test.go
@@ -21,7 +21,7 @@
 	server *http.Server
 	entry  descriptor.Upstream
 
-	mu sync.Mutex
+	mu   sync.Mutex
 	dead bool
 	// breaks says that the next answer is cut.
 	breaks bool
