Keep callers within the configuration's limits

The time for a header, idle connections and the size of a header stood at fixed bounds above any that operators set. enforcer tightens the deadlines that net/http sets on callers' connections to the limits in force; a header over its size is 431.

--- a/descriptor/configuration.go
+++ b/descriptor/configuration.go
@@ -74,8 +74,13 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	// Body is the largest body in bytes.
-	Body int64
+	// Body is the largest body in bytes, and Header the largest header.
+	Body   int64
+	Header int64
+	// HeaderTime is how long a header may take, and Idle how long a connection may
+	// be without a request.
+	HeaderTime time.Duration
+	Idle       time.Duration
 }
 
 // Route returns the route of a host and path: the one with the longest prefix.
--- a/entry.go
+++ b/entry.go
@@ -17,6 +17,7 @@
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/enforcer"
 	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/forwarder"
 	"github.com/citronpier/citronpier/gossiper"
@@ -195,6 +196,8 @@
 			ErrorLog:          newErrorLog(e.config.Logger),
 		}
 		if endpoint.Callers {
+			endpoint.Listener = enforcer.Listener{Listener: endpoint.Listener, Limits: e.times}
+			s.ConnState = enforcer.State
 			callers = append(callers, s)
 		} else {
 			others = append(others, s)
@@ -299,12 +302,19 @@
 // defaultBody is the largest body before a configuration is known, in bytes.
 const defaultBody = 4 << 20
 
-// MaxBody returns the largest body in bytes.
-func (e *Entry) MaxBody() int64 {
-	if most := e.watcher.Configuration().Limits.Body; most > 0 {
-		return most
+// Limits returns what bounds a request.
+func (e *Entry) Limits() descriptor.Limits {
+	limits := e.watcher.Configuration().Limits
+	if limits.Body <= 0 {
+		limits.Body = defaultBody
 	}
-	return defaultBody
+	return limits
+}
+
+// times returns what bounds the time of callers' connections.
+func (e *Entry) times() enforcer.Limits {
+	limits := e.watcher.Configuration().Limits
+	return enforcer.Limits{Header: limits.HeaderTime, Idle: limits.Idle}
 }
 
 // Closing reports whether callers are to open new connections elsewhere.
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -9,6 +9,8 @@
 const (
 	Malformed  Reason = "malformed"   // the body is not valid JSON or lacks a field
 	Oversize   Reason = "oversize"    // the body is larger than the limit
+	Headers    Reason = "headers"     // the header is larger than the limit
+	Slow       Reason = "slow"        // the body did not come in its time
 	Model      Reason = "model"       // no upstream lists the model
 	Key        Reason = "key"         // the organisation's key is missing or wrong
 	Forged     Reason = "forged"      // a token's signature does not match
@@ -54,6 +56,8 @@
 var statuses = map[Reason]int{
 	Malformed:  http.StatusBadRequest,
 	Oversize:   http.StatusRequestEntityTooLarge,
+	Headers:    http.StatusRequestHeaderFieldsTooLarge,
+	Slow:       http.StatusRequestTimeout,
 	Model:      http.StatusNotFound,
 	Key:        http.StatusUnauthorized,
 	Forged:     http.StatusForbidden,
