Settle turns aside in their own shard

A turn that is recorded in another shard while the partition of its own is away left no settlement there: a home that took the shard over counted the turn at its most, and the program could be told 402 early. The settlement goes with the next append now (TestTurnAsideIsSettled).

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -192,7 +192,7 @@
 func (s *shard) settle(r *messenger.EndRequest, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.see(r, now)
+	s.see(r.GetSession(), r.GetUpstream(), now)
 	a, ok := s.accounts[r.GetProgram()]
 	if !ok {
 		return
@@ -203,15 +203,23 @@
 	}
 }
 
-// see notes the upstream that served a session.
-func (s *shard) see(r *messenger.EndRequest, now time.Time) {
-	if r.GetUpstream() == "" {
+// see notes the upstream that served a session's turn. It needs mu to be held.
+func (s *shard) see(session, upstream string, now time.Time) {
+	if session == "" || upstream == "" {
 		return
 	}
 	if s.upstreams == nil {
 		s.upstreams = make(map[string]sighting)
 	}
-	s.upstreams[r.GetSession()] = sighting{upstream: r.GetUpstream(), seen: now}
+	s.upstreams[session] = sighting{upstream: upstream, seen: now}
+}
+
+// settleLater has the settlement of a turn that was recorded in another shard
+// written with the next append.
+func (s *shard) settleLater(r *messenger.EndRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lazy = append(s.lazy, newChange(r.GetProgram(), settleChange{turn: r.GetTurn(), generated: r.GetGenerated()}))
 }
 
 // upstream returns the upstream that served a session's last turn.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -247,6 +247,9 @@
 		return &messenger.EndReply{}, nil
 	}
 	if s.isAway() && !r.GetPatient() {
+		if !r.GetAside() {
+			s.settleLater(r)
+		}
 		return &messenger.EndReply{Away: true}, nil
 	}
 	err := k.keep(ctx, s, r)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -528,6 +528,48 @@
 	})
 }
 
+// The settlement of a turn aside gets into its own shard when that is back: a home
+// that takes it over counts what was generated, and not the turn's most.
+func TestTurnAsideIsSettled(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, w *world) {
+		a := w.alone(ctx, "a")
+		limited := func(id, previous string) *messenger.BeginRequest {
+			r := begin(id, previous)
+			r.Budget = 2*4 + most
+			return r
+		}
+		a.Begin(ctx, limited("1", ""), time.Now())
+		if _, err := a.End(ctx, end("1", ""), time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		a.Begin(ctx, limited("2", "1"), time.Now())
+		time.Sleep(time.Second)
+		w.refuse(partitions[0])
+		other := end("x", "")
+		other.Program = "q"
+		if _, err := a.End(ctx, other, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		if reply, err := a.End(ctx, end("2", "1"), time.Now()); err != nil || !reply.GetAway() {
+			t.Fatalf("end: %v %v", reply, err)
+		}
+		aside := end("2", "1")
+		aside.Shard, aside.Aside, aside.Chain = 1, true, []byte("in-1;out-1\n")
+		if _, err := a.End(ctx, aside, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		w.store.SetFault(nil)
+		w.away = nil
+		time.Sleep(2 * time.Second)
+		a.Release()
+		time.Sleep(time.Second)
+		verdict := w.alone(ctx, "b").Begin(ctx, limited("3", "2"), time.Now()).GetVerdict()
+		if diff := cmp.Diff(messenger.BeginReply_RESERVED, verdict); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // A home that has not appended since its partition went away looks for a turn in
 // other shards as well.
 func TestTurnsAsideAreFound(t *testing.T) {
