--- a/cmd/citronpier/main.go
+++ b/cmd/citronpier/main.go
@@ -92,7 +92,7 @@
 		HideHelpCommand: true,
 		Commands: []*cli.Command{
 			publishCommand(), demoCommand(),
-			checkQuery(), rulesQuery(), hostsQuery(), todayQuery(), statusQuery(),
+			checkQuery(), rulesQuery(), hostsQuery(), todayQuery(), statusQuery(), entryQuery(),
 		},
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong command line, 3 mistakes in the rule file,\n" +
 			"4 another rule file was published first, 5 a rule or a promise did not hold.",
@@ -114,7 +114,7 @@
 func hostFlag() cli.Flag {
 	return &cli.StringFlag{
 		Name: flagHost, Value: "127.0.0.1:8080", Sources: cli.EnvVars("CITRONPIER_HOST"),
-		Usage: "caller address of any host",
+		Usage: "caller address of any host; for entry hosts the metrics address",
 	}
 }
 
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -133,6 +133,7 @@
 			e.config.Logger.Debug().Err(err).Msg("metrics not written")
 		}
 	})
+	e.serveStatus(mux)
 	return mux
 }
 
--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -246,6 +246,24 @@
 	return l
 }
 
+// With returns what two say together.
+func (l Load) With(other Load) Load {
+	l.Running += other.Running
+	l.Failing += other.Failing
+	l.Found += other.Found
+	l.Stretch += other.Stretch
+	l.Timed += other.Timed
+	return l
+}
+
+// MeanFailing returns the mean share of requests that fail at hosts that found
+// any; 0 where none did.
+func (l Load) MeanFailing() float64 { return l.Failing / float64(max(1, l.Found)) }
+
+// MeanStretch returns how many times longer than usual requests take at hosts that
+// found more than is tolerated; 0 where none did.
+func (l Load) MeanStretch() float64 { return l.Stretch / float64(max(1, l.Timed)) }
+
 // Loads returns what this host has to say of upstreams, by the hash of their id.
 func (b *Board) Loads(now time.Time) map[uint64]Load {
 	b.mu.Lock()
--- a/watcher/list.go
+++ b/watcher/list.go
@@ -92,6 +92,17 @@
 	return usable
 }
 
+// All returns the upstreams that are named, leaving ones with them.
+func (l List) All() []descriptor.Upstream {
+	var all []descriptor.Upstream
+	for _, e := range l.entries {
+		if !e.gone {
+			all = append(all, e.upstream)
+		}
+	}
+	return all
+}
+
 // Has reports whether an upstream may be given work.
 func (l List) Has(id string, now time.Time) bool { return l.entries[id].usable(now) }
 
