--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -22,14 +22,11 @@
 	maxReply = 16 << 20
 )
 
-// Dial opens a connection to an address. It is that of net.Dialer.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // NewDial returns the Dial of the machine's own network.
-func NewDial() Dial { return (&net.Dialer{Timeout: dialBudget}).DialContext }
+func NewDial() connector.Dial { return (&net.Dialer{Timeout: dialBudget}).DialContext }
 
 // newTransport returns the transport of one kind of peer.
-func newTransport(dial Dial) *http.Transport {
+func newTransport(dial connector.Dial) *http.Transport {
 	return &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
--- a/dialer/engine.go
+++ b/dialer/engine.go
@@ -35,7 +35,7 @@
 
 // NewEngine returns an Engine. It calls crossed for each part that it drops
 // because the part belongs to another call.
-func NewEngine(dial Dial, crossed func()) *Engine {
+func NewEngine(dial connector.Dial, crossed func()) *Engine {
 	return &Engine{http: &http.Client{Transport: newTransport(dial)}, crossed: crossed}
 }
 
--- a/dialer/list.go
+++ b/dialer/list.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 )
 
@@ -17,7 +18,7 @@
 }
 
 // NewList returns the list at an address.
-func NewList(address string, dial Dial) *List {
+func NewList(address string, dial connector.Dial) *List {
 	return &List{address: address, http: &http.Client{Transport: newTransport(dial)}}
 }
 
--- a/dialer/log.go
+++ b/dialer/log.go
@@ -17,7 +17,7 @@
 }
 
 // NewLog returns the log at an address.
-func NewLog(address string, dial Dial) *Log {
+func NewLog(address string, dial connector.Dial) *Log {
 	return &Log{address: address, http: &http.Client{Transport: newTransport(dial)}}
 }
 
--- a/dialer/peers.go
+++ b/dialer/peers.go
@@ -13,7 +13,7 @@
 type Peers struct{ client *messenger.Client }
 
 // NewPeers returns Peers that show the key that hosts share.
-func NewPeers(key string, dial Dial) *Peers {
+func NewPeers(key string, dial connector.Dial) *Peers {
 	return &Peers{client: messenger.NewClient(key, dial)}
 }
 
--- a/dialer/service.go
+++ b/dialer/service.go
@@ -22,7 +22,7 @@
 
 // NewService returns a Service. Each call has its own connection: a reused one
 // may be closed under it, which would leave open whether the call was sent.
-func NewService(dial Dial) *Service {
+func NewService(dial connector.Dial) *Service {
 	t := newTransport(dial)
 	t.DisableKeepAlives = true
 	return &Service{http: &http.Client{Transport: t}}
--- a/entry.go
+++ b/entry.go
@@ -60,7 +60,7 @@
 	// Beats sends and receives heartbeats at the peer address.
 	Beats net.PacketConn
 	// Dial opens connections to upstreams and other hosts; nil is the usual way.
-	Dial exchanger.Dial
+	Dial connector.Dial
 	// Grace is how long a planned stop may take; 0 is the usual time.
 	Grace  time.Duration
 	Logger zerolog.Logger
@@ -159,7 +159,7 @@
 }
 
 // dialOr returns a Dial, or the usual one where there is none.
-func dialOr(dial exchanger.Dial, unacked time.Duration) exchanger.Dial {
+func dialOr(dial connector.Dial, unacked time.Duration) connector.Dial {
 	if dial != nil {
 		return dial
 	}
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -11,7 +11,6 @@
 
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/navigator"
@@ -31,7 +30,7 @@
 
 // peerClients holds the clients of other hosts. dial has to be set.
 type peerClients struct {
-	dial exchanger.Dial
+	dial connector.Dial
 
 	mu      sync.Mutex
 	http    *http.Client
--- a/exchanger/dial.go
+++ b/exchanger/dial.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/citronpier/citronpier/connector"
 )
 
 const (
@@ -26,7 +28,7 @@
 
 // NewDial returns a Dial whose connections find out that they went silent: they
 // end when their bytes are not acknowledged for a time.
-func NewDial(unacked time.Duration) Dial {
+func NewDial(unacked time.Duration) connector.Dial {
 	d := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -95,11 +94,8 @@
 	Stats Stats
 }
 
-// Dial opens a connection to an address.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // New returns an Exchanger.
-func New(codec Codec, dial Dial) *Exchanger {
+func New(codec Codec, dial connector.Dial) *Exchanger {
 	e := &Exchanger{codec: codec}
 	e.pool.dial = dial
 	e.pool.stats = &e.Stats
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 )
 
@@ -35,7 +36,7 @@
 // pool holds the connections to upstreams. The zero value is empty and has no
 // limit.
 type pool struct {
-	dial  Dial
+	dial  connector.Dial
 	stats *Stats
 
 	mu    sync.Mutex
--- a/option.go
+++ b/option.go
@@ -8,7 +8,6 @@
 
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/dialer"
 	"github.com/citronpier/citronpier/router"
 	"github.com/citronpier/citronpier/scheduler"
 )
@@ -25,7 +24,7 @@
 	list      connector.List
 	engine    connector.Engine
 	service   connector.Service
-	dial      dialer.Dial
+	dial      connector.Dial
 	peers     connector.Peers
 	caller    net.Listener
 	peer      net.Listener
@@ -73,7 +72,7 @@
 func WithPeers(p connector.Peers) Option { return func(s *settings) { s.peers = p } }
 
 // WithDial sets how the host connects to upstreams and other hosts.
-func WithDial(dial dialer.Dial) Option { return func(s *settings) { s.dial = dial } }
+func WithDial(dial connector.Dial) Option { return func(s *settings) { s.dial = dial } }
 
 // WithListeners sets where callers and other hosts connect.
 func WithListeners(caller, peer net.Listener) Option {
