Count a service's own failures a quarter

Cause: services answer 500 to one call in a hundred by themselves, and each such answer kept calls away from its upstream for some seconds at all hosts; a 504 says that the caller's time was over and was counted against the upstream. Callers have their answer in both cases.

Change: an own failure of a call counts a quarter of a failure, that of a turn, which has to be run again, a whole one; 504 counts nothing.

TestErredCalls fails before.

--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -24,6 +24,9 @@
 	// is overdue, and overdueTimes how many times the usual time it may take.
 	overdueLeast = 300 * time.Millisecond
 	overdueTimes = 4
+	// erredPart is how much an answer counts as a failure in which an upstream
+	// says that it failed: services do so now and then, and callers have an answer.
+	erredPart = 0.25
 	// telling is the share of failing requests from which on other hosts are told.
 	telling = 0.1
 	// eventPart is the weight of the time of one event, in results: some pauses
@@ -53,6 +56,8 @@
 	unknown result = iota
 	// served is an answer that the upstream ended.
 	served
+	// erred is an answer to a call in which the upstream says that it failed.
+	erred
 	// failed is anything else.
 	failed
 )
@@ -182,12 +187,14 @@
 		}
 		took := now.Sub(v.sentAt)
 		usual := smooth(b.service, v.upstream.Service, took, firstService)
-		p.health = p.health.WithResult(false, now)
+		p.health = p.health.WithResult(0, now)
 		if !v.paced {
 			p.health = p.health.WithTime(multiple(took, usual), 1, now)
 		}
+	case erred:
+		p.health = p.health.WithResult(erredPart, now)
 	case failed:
-		p.health = p.health.WithResult(true, now)
+		p.health = p.health.WithResult(1, now)
 		p.avoid = now.Add(avoided)
 	}
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -296,6 +296,15 @@
 	return whole, false, err
 }
 
+// failure says what an upstream's own failure tells of it: a turn has to be run
+// again, a call has its answer.
+func (e *exchange) failure() result {
+	if _, stream := e.route.Kind.(descriptor.Stream); stream {
+		return failed
+	}
+	return erred
+}
+
 // close ends an answer that was read to its end or up to a failure, and counts
 // the request as ended.
 func (e *exchange) close(ctx context.Context, answer *exchanger.Answer, err error) {
@@ -305,8 +314,13 @@
 	switch {
 	case errors.As(err, &callers) || (err != nil && ctx.Err() != nil):
 		r = unknown
-	case err != nil || answer.Status >= http.StatusInternalServerError:
+	case err != nil:
 		r = failed
+	case answer.Status == http.StatusGatewayTimeout:
+		// The caller's time was over.
+		r = unknown
+	case answer.Status >= http.StatusInternalServerError:
+		r = e.failure()
 	}
 	e.config.Board.end(e.visit, r, time.Now())
 }
--- a/forwarder/health.go
+++ b/forwarder/health.go
@@ -48,13 +48,11 @@
 	return h
 }
 
-// WithResult returns h with one more result.
-func (h health) WithResult(failed bool, now time.Time) health {
+// WithResult returns h with one more result, of which a part failed.
+func (h health) WithResult(failed float64, now time.Time) health {
 	h = h.aged(now)
 	h.ended++
-	if failed {
-		h.failed++
-	}
+	h.failed += failed
 	return h
 }
 
--- a/forwarder/health_test.go
+++ b/forwarder/health_test.go
@@ -151,7 +151,7 @@
 // What is known of an upstream fades.
 func TestHealthFades(t *testing.T) {
 	now := time.Unix(1000, 0)
-	h := health{}.WithResult(true, now).WithResult(true, now)
+	h := health{}.WithResult(1, now).WithResult(1, now)
 	got := []float64{h.failing(0, now), h.failing(0, now.Add(healthHalf)), health{}.failing(2, now)}
 	if diff := cmp.Diff([]float64{0.5, 1.0 / 3, 0.5}, got); diff != "" {
 		t.Errorf("share that fails (-want +got):\n%s", diff)
@@ -223,3 +223,33 @@
 		}
 	}
 }
+
+// A service's own failures now and then move no load, and a share of them does.
+func TestErredCalls(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := []descriptor.Upstream{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}}
+	pick := func(erredOf int) map[string]bool {
+		var b Board
+		for _, u := range list {
+			for i := range 8 {
+				r := served
+				if u.ID == "a" && i < erredOf {
+					r = erred
+				}
+				v := b.begin(u, nil, now)
+				b.answered(v, now)
+				b.end(v, r, now)
+			}
+		}
+		picked := make(map[string]bool)
+		for i := range 20 {
+			u, _ := b.choose(list, choice{request: descriptor.Request{ID: fmt.Sprint(i)}}, now)
+			picked[u.ID] = true
+		}
+		return picked
+	}
+	got := []map[string]bool{pick(1), pick(4)}
+	if diff := cmp.Diff([]map[string]bool{{"a": true, "b": true}, {"b": true}}, got); diff != "" {
+		t.Errorf("picked after one and after four of eight (-want +got):\n%s", diff)
+	}
+}
