Keep what is known of an upstream's present incarnation

A request that ended at an earlier incarnation of an upstream made the board forget the present one's prompts and health, and the next request made it forget once more. Such an end only counts down what is under way now (TestEarlierIncarnation fails before).

--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -47,32 +47,6 @@
 	pace map[string]time.Duration
 }
 
-// result is how a request at an upstream ended.
-type result int
-
-const (
-	// unknown says nothing of the upstream: it did not take the request, or the
-	// caller left.
-	unknown result = iota
-	// served is an answer that the upstream ended.
-	served
-	// erred is an answer to a call in which the upstream says that it failed.
-	erred
-	// failed is anything else.
-	failed
-)
-
-// visit is a request under way at an upstream.
-type visit struct {
-	place    *place
-	upstream descriptor.Upstream
-	sentAt   time.Time
-	// waiting is the visit's element of its place's list until the answer begins.
-	waiting *list.Element
-	// paced says that the times between events were measured.
-	paced bool
-}
-
 // place is what is known of one upstream.
 type place struct {
 	hash    uint64
@@ -122,6 +96,14 @@
 	return next
 }
 
+// current returns the place of a visit's upstream, and whether it is that of the
+// incarnation that was visited; nil where the upstream is forgotten. It needs mu
+// to be held.
+func (b *Board) current(v *visit) (p *place, same bool) {
+	p = b.upstreams[v.upstream.ID]
+	return p, p == v.place
+}
+
 // begin counts a request as under way at an upstream.
 func (b *Board) begin(u descriptor.Upstream, prefix []descriptor.PromptPart, now time.Time) *visit {
 	b.mu.Lock()
@@ -154,21 +136,14 @@
 	}
 	v.paced = true
 	usual := smooth(b.pace, v.upstream.Service, each, each)
-	p := b.place(v.upstream)
-	p.health = p.health.WithTime(multiple(each, usual), eventPart, now)
+	if p, same := b.current(v); same {
+		p.health = p.health.WithTime(multiple(each, usual), eventPart, now)
+	}
 }
 
 // multiple returns how many times the usual time one took.
 func multiple(took, usual time.Duration) float64 { return float64(took) / float64(max(usual, 1)) }
 
-// arrive takes a visit off the list of those that wait.
-func (v *visit) arrive() {
-	if v.waiting != nil {
-		v.place.waiting.Remove(v.waiting)
-		v.waiting = nil
-	}
-}
-
 // end counts a request as ended. One that was broken off when it was overdue
 // has failed.
 func (b *Board) end(v *visit, r result, now time.Time) {
@@ -178,8 +153,14 @@
 		r = failed
 	}
 	v.arrive()
-	p := b.place(v.upstream)
-	p.running--
+	p, same := b.current(v)
+	if p != nil {
+		p.running--
+	}
+	if !same {
+		// What became of an earlier incarnation says nothing of this one.
+		return
+	}
 	switch r {
 	case served:
 		if b.service == nil {
@@ -224,53 +205,6 @@
 	return b.overdueAfter(service)
 }
 
-// Load is what a host, or several together, say of an upstream.
-type Load struct {
-	// Running is the requests under way.
-	Running int
-	// Failing is the share of requests that fail, summed over the hosts that
-	// found any, and Found is the number of these hosts.
-	Failing float64
-	Found   int
-	// Stretch is how many times longer than usual requests take, summed over the
-	// hosts that found more than is tolerated, and Timed is the number of these.
-	Stretch float64
-	Timed   int
-}
-
-// WithHost returns l with what one more host says; a share or a stretch of 0 is
-// not said.
-func (l Load) WithHost(running int, failing, stretch float64) Load {
-	l.Running += running
-	if failing > 0 {
-		l.Failing += failing
-		l.Found++
-	}
-	if stretch > 0 {
-		l.Stretch += stretch
-		l.Timed++
-	}
-	return l
-}
-
-// With returns what two say together.
-func (l Load) With(other Load) Load {
-	l.Running += other.Running
-	l.Failing += other.Failing
-	l.Found += other.Found
-	l.Stretch += other.Stretch
-	l.Timed += other.Timed
-	return l
-}
-
-// MeanFailing returns the mean share of requests that fail at hosts that found
-// any; 0 where none did.
-func (l Load) MeanFailing() float64 { return l.Failing / float64(max(1, l.Found)) }
-
-// MeanStretch returns how many times longer than usual requests take at hosts that
-// found more than is tolerated; 0 where none did.
-func (l Load) MeanStretch() float64 { return l.Stretch / float64(max(1, l.Timed)) }
-
 // Loads returns what this host has to say of upstreams, by the hash of their id.
 func (b *Board) Loads(now time.Time) map[uint64]Load {
 	b.mu.Lock()
--- a/forwarder/health_test.go
+++ b/forwarder/health_test.go
@@ -253,3 +253,22 @@
 		t.Errorf("picked after one and after four of eight (-want +got):\n%s", diff)
 	}
 }
+
+// The end of a request at an earlier incarnation of an upstream changes nothing that
+// is known of the present one but the number under way.
+func TestEarlierIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := descriptor.Upstream{ID: "a", Service: "s", Slots: 4, Born: 1}
+	young := old
+	young.Born = 2
+	prefix := []descriptor.PromptPart{{ID: "x", Tokens: 100}}
+	var b Board
+	first := b.begin(old, nil, now)
+	second := b.begin(young, prefix, now)
+	b.end(first, failed, now)
+	c := b.candidate(young, choice{request: descriptor.Request{Prefix: prefix}}, now)
+	got := []any{b.Loads(now)[second.place.hash], c.Cached, c.Broken}
+	if diff := cmp.Diff([]any{Load{Running: 1}, int64(100), false}, got); diff != "" {
+		t.Errorf("load, cached, broken (-want +got):\n%s", diff)
+	}
+}
