Deliver an upstream's own failure when the next answer is lost

An idempotent request that one upstream answered with 500 and whose second answer was cut ended with 502, though an answer was at hand. It is passed on now (a case of TestServe fails before). The question whether another upstream may do better and the note that the last one failed are two functions; the log says in words that a shard takes no records.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -241,48 +241,54 @@
 	var own *plainAnswer
 	for {
 		answer, o := e.send(ctx, "")
-		if o != nil && own != nil {
-			return e.deliver(own.answer, own.whole, false)
-		}
 		if o != nil {
-			return o
+			return e.orOwn(own, o)
 		}
 		whole, more, err := e.readWhole(ctx, answer)
-		if err == nil && !more && e.better(answer.Status) {
+		if err == nil && !more && e.mayDoBetter(answer.Status) {
 			own = &plainAnswer{answer: answer, whole: whole}
+			e.passOver(answer.Status)
 			continue
 		}
 		if err == nil {
 			return e.deliver(answer, whole, more)
 		}
 		if o := e.failed(ctx, e.upstream, err); o != nil {
-			return o
+			return e.orOwn(own, o)
 		}
 	}
 }
 
+// orOwn passes on an upstream's own failure where there is one, and returns an
+// outcome otherwise.
+func (e *exchange) orOwn(own *plainAnswer, o Outcome) Outcome {
+	if own == nil {
+		return o
+	}
+	return e.deliver(own.answer, own.whole, false)
+}
+
 // plainAnswer is an answer that was read whole.
 type plainAnswer struct {
 	answer *exchanger.Answer
 	whole  []byte
 }
 
-// better reports whether another upstream may do better than to fail a request,
-// and counts the run of the one that failed it.
-func (e *exchange) better(status int) bool {
-	if status != http.StatusInternalServerError {
-		return false
-	}
+// mayDoBetter reports whether another upstream may run a request that was answered
+// with a status.
+func (e *exchange) mayDoBetter(status int) bool {
+	_, idempotent := e.route.Kind.(descriptor.Idempotent)
+	return status == http.StatusInternalServerError && idempotent && e.runs+1 < e.route.Attempts
+}
+
+// passOver notes that the last upstream ran the request and failed it.
+func (e *exchange) passOver(status int) {
 	e.sent = true
 	e.runs++
 	e.tried = withTried(e.tried, e.upstream.ID)
-	if !e.repeatable() {
-		return false
-	}
 	e.config.Logger.Info().Str("id", e.request.ID).Str("upstream", e.upstream.ID).Int64("listed", e.upstream.Beat).
 		Int("status", status).Msg("upstream failed the request, asking another")
 	e.config.Counters.Retried(counter.RetryFailed)
-	return true
 }
 
 // readWhole reads an answer up to a limit. It closes the answer unless there
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -275,6 +275,7 @@
 		{"up to its attempts", idempotent, 1, [][]script{{breaks}, {whole}}, "lost 502 unknown", "", []string{"u0:"}},
 		{"one that an upstream fails is sent to another", idempotent, 2, [][]script{{failed}, {whole}}, "200", "ok", []string{"u0:", "u1:"}},
 		{"a failure is passed on where no other upstream does better", idempotent, 2, [][]script{{failed}, {notRun}}, "500", "bad", []string{"u0:", "u1:"}},
+		{"a failure is passed on where the other answer is lost", idempotent, 2, [][]script{{failed}, {short}}, "500", "bad", []string{"u0:", "u1:"}},
 		{"a failure is passed on once the attempts are used", idempotent, 1, [][]script{{failed}, {whole}}, "500", "bad", []string{"u0:"}},
 		{"one whose answer does not begin is sent to another", idempotent, 2, [][]script{{hangs}, {whole}}, "200", "ok", []string{"u0:", "u1:"}},
 		{"a once request whose answer begins late is waited for", once, 2, [][]script{{late}, {whole}}, "200", "ok", []string{"u0:"}},
--- a/keeper/away.go
+++ b/keeper/away.go
@@ -55,13 +55,20 @@
 	return s.away.shut
 }
 
+func awayMessage(away bool) string {
+	if away {
+		return "shard takes no records"
+	}
+	return "shard takes records again"
+}
+
 // appended notes how an append went.
 func (s *shard) appended(err error, now time.Time) {
 	away := err != nil && s.keeper.away(s.partition, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if away != s.away.shut {
-		s.logger.Warn().Bool("away", away).Int("waiting", len(s.queue)).Msg("shard's partition")
+		s.logger.Warn().Int("waiting", len(s.queue)).Msg(awayMessage(away))
 	}
 	s.away.set(away)
 }
