Read the whole change again: one rule, one type, one place each

- whether a request may run once more was decided by three conditions, one of them with a bound that the decoder sets already; it is repeatable(runs) now.
- the answer of /v1/hosts had three types (server, root, tool); one stands.
- which shards take a turn aside was chosen in forwarder, the program's shard in keeper; both are keeper's.
- the writer asked twice what an append's failure was.
A gate that opens because the whole store is lost was logged as if the partition were back; it says so now.
- a planned stop's decision to wait on, and the caller library's to ask again, take the present time as an argument.

Looked at and left: refuser.New takes its callers' format, which wraps where there is a cause; time.Now in the remaining places is read at an edge and passed on; the other repeated lines are generated code, imports and error types.

--- a/caller/program.go
+++ b/caller/program.go
@@ -61,13 +61,13 @@
 const homeFor = 5 * time.Second
 
 // refresh asks again for the program's hosts when their time is up.
-func (p *Program) refresh(ctx context.Context) {
-	if time.Now().Before(p.until) {
+func (p *Program) refresh(ctx context.Context, now time.Time) {
+	if now.Before(p.until) {
 		return
 	}
 	if hosts, err := p.client.Hosts(ctx, p.ID); err == nil && len(hosts) > 0 {
 		p.hosts = hosts
-		p.until = time.Now().Add(homeFor)
+		p.until = now.Add(homeFor)
 	}
 }
 
@@ -79,7 +79,7 @@
 
 // Say adds a message and returns the model's answer.
 func (p *Program) Say(ctx context.Context, model, text string, limit int64) (string, error) {
-	p.refresh(ctx)
+	p.refresh(ctx, time.Now())
 	messages := append(slices.Clone(p.messages), Message{Role: "user", Content: text})
 	body, err := json.Marshal(map[string]any{"model": model, "messages": messages, "max_tokens": limit})
 	if err != nil {
@@ -104,7 +104,7 @@
 // Stream adds a message and returns the model's answer, read as a stream. A
 // stream that ends without its marker is asked for again as a whole.
 func (p *Program) Stream(ctx context.Context, model, text string, limit int64) (string, error) {
-	p.refresh(ctx)
+	p.refresh(ctx, time.Now())
 	messages := append(slices.Clone(p.messages), Message{Role: "user", Content: text})
 	body, err := json.Marshal(map[string]any{
 		"model": model, "messages": messages, "max_tokens": limit, "stream": true,
@@ -166,7 +166,7 @@
 
 // Serve calls a plain service. Calls with one key run at most once.
 func (p *Program) Serve(ctx context.Context, service, path, key string, body []byte) ([]byte, error) {
-	p.refresh(ctx)
+	p.refresh(ctx, time.Now())
 	r, err := p.client.send(ctx, p.request("/v1/services/"+service+"/"+path, key, body))
 	if err != nil {
 		return nil, err
@@ -179,7 +179,7 @@
 
 // Finish ends the program.
 func (p *Program) Finish(ctx context.Context) error {
-	p.refresh(ctx)
+	p.refresh(ctx, time.Now())
 	_, err := p.client.send(ctx, request{method: http.MethodDelete, path: "/v1/programs/" + p.ID, hosts: p.hosts})
 	return err
 }
--- a/cmd/citronpier/queries.go
+++ b/cmd/citronpier/queries.go
@@ -12,7 +12,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/parser"
 	"github.com/citronpier/citronpier/publisher"
 	"github.com/citronpier/citronpier/reporter"
@@ -164,14 +163,8 @@
 	return t.Flush()
 }
 
-// hostList is a host's answer about the hosts to use.
-type hostList struct {
-	Hosts []descriptor.Host `json:"hosts"`
-	TTL   int               `json:"ttl"`
-}
-
 func hostsQuery() *cli.Command {
-	return query("hosts", "list the hosts that callers should use", "/v1/hosts", func(w io.Writer, l hostList) error {
+	return query("hosts", "list the hosts that callers should use", "/v1/hosts", func(w io.Writer, l server.HostList) error {
 		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		_, _ = fmt.Fprintln(t, "HOST\tCALLERS\tDATA CENTRE")
 		for _, h := range l.Hosts {
@@ -182,7 +175,7 @@
 }
 
 func hostsBehind(ctx context.Context, host string, version int64) ([]string, error) {
-	var list hostList
+	var list server.HostList
 	if err := get(ctx, host, "/v1/hosts", &list); err != nil {
 		return nil, err
 	}
--- a/entry.go
+++ b/entry.go
@@ -271,18 +271,18 @@
 
 // linger waits until callers have stopped coming.
 func (e *Entry) linger(began time.Time) {
-	most := e.config.Grace - e.config.Grace/closingShare
-	for {
-		now := time.Now()
-		past := now.Sub(began)
-		quiet := now.UnixNano()-e.served.Load() > int64(lingerQuiet) && e.active.Load() == 0
-		if past >= most || (past >= lingerLeast && quiet) {
-			return
-		}
+	for !e.lingered(began, time.Now()) {
 		time.Sleep(lingerStep)
 	}
 }
 
+// lingered reports whether a stop that began at a time has waited enough.
+func (e *Entry) lingered(began, now time.Time) bool {
+	past := now.Sub(began)
+	quiet := now.UnixNano()-e.served.Load() > int64(lingerQuiet) && e.active.Load() == 0
+	return past >= e.config.Grace-e.config.Grace/closingShare || (past >= lingerLeast && quiet)
+}
+
 // Serve takes one request of a caller.
 func (e *Entry) Serve(ctx context.Context, r descriptor.Request, sink forwarder.Sink, now time.Time) forwarder.Outcome {
 	e.active.Add(1)
--- a/entry_status.go
+++ b/entry_status.go
@@ -12,6 +12,7 @@
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
+	"github.com/citronpier/citronpier/server"
 )
 
 // EntryStatus is what an entry host believes, as its operators see it.
@@ -98,18 +99,12 @@
 	return upstreams
 }
 
-// hostsReply is the answer to which hosts callers use.
-type hostsReply struct {
-	Hosts []descriptor.Host `json:"hosts"`
-	TTL   int               `json:"ttl"`
-}
-
 // serveStatus answers operators.
 func (e *Entry) serveStatus(mux *http.ServeMux) {
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { e.reply(w, e.Status(time.Now())) })
 	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
-		e.reply(w, hostsReply{Hosts: e.callers(now).Live(now), TTL: int(directoryKeep.Seconds())})
+		e.reply(w, server.HostList{Hosts: e.callers(now).Live(now), TTL: int(directoryKeep.Seconds())})
 	})
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -147,7 +147,7 @@
 // beginIn returns how long an answer may take to begin before the request goes
 // on at another upstream; 0 is no limit.
 func (e *exchange) beginIn(now time.Time) time.Duration {
-	if _, idempotent := e.route.Kind.(descriptor.Idempotent); !idempotent || e.runs+1 >= e.route.Attempts {
+	if !e.repeatable(e.runs + 1) {
 		return 0
 	}
 	// Half of the time is left for the other upstream.
@@ -186,7 +186,7 @@
 		return o
 	}
 	event.Msg("upstream broke off")
-	if e.repeatable() {
+	if e.repeatable(e.runs) {
 		e.config.Counters.Retried(retryReason(err))
 		return nil
 	}
@@ -202,10 +202,11 @@
 	return counter.RetryUpstream
 }
 
-// repeatable reports whether the request may run on one more upstream.
-func (e *exchange) repeatable() bool {
+// repeatable reports whether the request may run on one more upstream after a
+// number of runs.
+func (e *exchange) repeatable(runs int) bool {
 	_, idempotent := e.route.Kind.(descriptor.Idempotent)
-	return idempotent && e.runs < max(1, e.route.Attempts)
+	return idempotent && runs < e.route.Attempts
 }
 
 // exhausted returns the outcome of a request that no upstream took.
@@ -277,8 +278,7 @@
 // mayDoBetter reports whether another upstream may run a request that was answered
 // with a status.
 func (e *exchange) mayDoBetter(status int) bool {
-	_, idempotent := e.route.Kind.(descriptor.Idempotent)
-	return status == http.StatusInternalServerError && idempotent && e.runs+1 < e.route.Attempts
+	return status == http.StatusInternalServerError && e.repeatable(e.runs+1)
 }
 
 // passOver notes that the last upstream ran the request and failed it.
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -161,7 +161,7 @@
 // away. Each host finds it there: a turn may continue one of any shard.
 func (e *exchange) recordAside(ctx context.Context, t *turn, own *messenger.EndRequest) error {
 	chain := e.request.Body[:len(e.request.Body)-len(t.input)]
-	for _, shard := range asideShards(int(own.GetShard()), e.config.Shards) {
+	for _, shard := range keeper.AsideShards(int(own.GetShard()), e.config.Shards) {
 		r := proto.CloneOf(own)
 		r.Shard, r.Aside, r.Chain = int32(shard), true, chain
 		reply, err := e.config.Homes.End(ctx, r)
@@ -179,20 +179,3 @@
 	_, err := e.config.Homes.End(ctx, own)
 	return err
 }
-
-// asideTries is how many other shards are tried: where a third of the partitions
-// is away, all of these are in one of 27 cases.
-const asideTries = 3
-
-// asideShards returns the shards that take a shard's turns while its partition is
-// away, in order. They are far from it in the list: its neighbours may share its
-// fate.
-func asideShards(own, shards int) []int {
-	var others []int
-	for i := 1; i <= shards && len(others) < asideTries; i++ {
-		if other := (own + shards/2 + i) % shards; other != own {
-			others = append(others, other)
-		}
-	}
-	return others
-}
--- a/keeper/away.go
+++ b/keeper/away.go
@@ -55,20 +55,42 @@
 	return s.away.shut
 }
 
-func awayMessage(away bool) string {
-	if away {
-		return "shard takes no records"
+// answered notes that the store answered an append.
+func (s *shard) answered() { s.setAway(false, "shard takes records again") }
+
+// failed notes that an append failed: the partition is away if the store answers
+// otherwise.
+func (s *shard) failed(now time.Time) {
+	if s.keeper.away(s.partition, now) {
+		s.setAway(true, "shard takes no records")
+		return
 	}
-	return "shard takes records again"
+	s.setAway(false, "shard waits for the store")
 }
 
-// appended notes how an append went.
-func (s *shard) appended(err error, now time.Time) {
-	away := err != nil && s.keeper.away(s.partition, now)
+// setAway shuts or opens the gate, and logs where that is a change.
+func (s *shard) setAway(away bool, message string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if away != s.away.shut {
-		s.logger.Warn().Int("waiting", len(s.queue)).Msg(awayMessage(away))
+		s.logger.Warn().Int("waiting", len(s.queue)).Msg(message)
 	}
 	s.away.set(away)
 }
+
+// asideTries is how many other shards are tried: where a third of the partitions
+// is away, all of these are in one of 27 cases.
+const asideTries = 3
+
+// AsideShards returns the shards that take a shard's turns while its partition is
+// away, in order. They are far from it in the list: its neighbours may share its
+// fate.
+func AsideShards(own, shards int) []int {
+	var others []int
+	for i := 1; i <= shards && len(others) < asideTries; i++ {
+		if other := (own + shards/2 + i) % shards; other != own {
+			others = append(others, other)
+		}
+	}
+	return others
+}
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -161,10 +161,8 @@
 	for ctx.Err() == nil {
 		_, err := s.keeper.config.Store.Append(ctx, s.partition, b.records, at)
 		var moved *connector.MovedError
-		if errors.As(err, &moved) {
-			s.appended(nil, time.Now())
-		} else {
-			s.appended(err, time.Now())
+		if err == nil || errors.As(err, &moved) {
+			s.answered()
 		}
 		switch {
 		case err == nil:
@@ -179,6 +177,7 @@
 				return b.found, nil
 			}
 		default:
+			s.failed(time.Now())
 			s.keeper.config.Counters.Retries.Add("append", 1)
 			s.logger.Debug().Err(err).Msg("append failed")
 		}
--- a/server/page.go
+++ b/server/page.go
@@ -15,8 +15,8 @@
 // hostsTTL is how long a caller may keep the answer of /v1/hosts, in seconds.
 const hostsTTL = 5
 
-// hostList is the answer of GET /v1/hosts.
-type hostList struct {
+// HostList is the answer of GET /v1/hosts.
+type HostList struct {
 	// Hosts are in the order in which to try them.
 	Hosts []descriptor.Host `json:"hosts"`
 	TTL   int               `json:"ttl"`
@@ -29,7 +29,7 @@
 	if program != "" {
 		route = locator.Route(program)
 	}
-	ctx.StopWithJSON(http.StatusOK, hostList{Hosts: s.config.Queries.Hosts(route), TTL: hostsTTL})
+	ctx.StopWithJSON(http.StatusOK, HostList{Hosts: s.config.Queries.Hosts(route), TTL: hostsTTL})
 }
 
 // ruleFile is the answer of GET /v1/rules.
