Log the software version of upstreams and which stream a request resumes

What callers saw: streams joined from two software versions (ORDER).

Cause: not looked for yet.

Change: the version of an upstream and the name of the resumed attempt are decoded and logged; a line says which upstream goes on with a stream within one response. Choices are unchanged.

--- a/descriptor/request.go
+++ b/descriptor/request.go
@@ -45,6 +45,9 @@
 	// If the caller wants to resume a stream, LastEvent is the ID of the last event
 	// of the stream that the caller received. Otherwise it is empty.
 	LastEvent string
+	// Resumes is the ID of the attempt whose response had the first event of the stream
+	// that the caller wants to resume. It is empty if the caller does not name one.
+	Resumes string
 }
 
 // PromptPart is one part of a prompt. Equal parts of different prompts have the same
--- a/descriptor/upstream.go
+++ b/descriptor/upstream.go
@@ -15,6 +15,9 @@
 	// Service is the name of the service that the upstream is an instance of. It is
 	// empty for a model engine that receives calls for any of its Models.
 	Service string `json:"service,omitempty"`
+	// Version is the version of the upstream's software. Versions have no order. A stream
+	// that one version began can't be resumed at another version.
+	Version string `json:"version,omitempty"`
 	// Slots is the number of calls that the upstream can run at the same time.
 	Slots int `json:"slots"`
 	// Leaving is true while the upstream is draining. It takes no new work then.
@@ -33,6 +36,17 @@
 	return u.Service == "" && slices.Contains(u.Models, model)
 }
 
+// Build returns the software that the upstream runs.
+func (u Upstream) Build() Build { return Build{Service: u.Service, Version: u.Version} }
+
+// Build identifies the software of upstreams. The zero value is no build.
+type Build struct {
+	// Service is the name of the service.
+	Service string
+	// Version is the software version of the service.
+	Version string
+}
+
 // WithLeaving returns a copy of the upstream with Leaving set.
 func (u Upstream) WithLeaving(leaving bool) Upstream {
 	u.Leaving = leaving
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -77,8 +77,11 @@
 	if e.request.Budget > 0 {
 		event = event.Int64("budget", e.request.Budget).Int64("most", e.request.MaxTokens).Int64("generated", e.generated)
 	}
+	if e.request.LastEvent != "" {
+		event = event.Str("after", e.request.LastEvent).Str("resumes", e.request.Resumes)
+	}
 	if e.upstream.ID != "" {
-		event = event.Str("upstream", e.upstream.ID).Int64("listed", e.upstream.HeartbeatSequence)
+		event = event.Str("upstream", e.upstream.ID).Str("version", e.upstream.Version).Int64("listed", e.upstream.HeartbeatSequence)
 	}
 	if !e.firstByte.IsZero() {
 		event = event.Dur("first_ms", e.firstByte.Sub(e.began))
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -192,7 +192,7 @@
 		return nil
 	}
 	e.config.Logger.Info().Err(cause).Str("id", e.request.ID).Str("upstream", e.upstream.ID).
-		Str("after", last).Msg("stream interrupted, resuming")
+		Str("version", e.upstream.Version).Str("after", last).Msg("stream interrupted, resuming")
 	e.config.Counters.Retried(counter.RetryResume)
 	response, err := e.sendTo(ctx, choice{Upstream: e.upstream}, last, time.Now())
 	var unsent *connector.UnsentError
@@ -208,5 +208,7 @@
 		e.closeResponse(ctx, response, nil)
 		return nil
 	}
+	e.config.Logger.Info().Str("id", e.request.ID).Str("upstream", e.upstream.ID).Str("version", e.upstream.Version).
+		Str("after", last).Msg("stream resumed")
 	return response
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -245,7 +245,8 @@
 	if old.removed == next.removed && old.upstream.Leaving == next.upstream.Leaving && old.upstream.Incarnation == next.upstream.Incarnation {
 		return
 	}
-	w.config.Logger.Info().Str("upstream", c.key).Str("service", next.upstream.Service).Str("address", next.upstream.Address).
+	w.config.Logger.Info().Str("upstream", c.key).Str("service", next.upstream.Service).Str("version", next.upstream.Version).
+		Str("address", next.upstream.Address).
 		Bool("leaving", next.upstream.Leaving).Bool("gone", next.removed).Int64("born", next.upstream.Incarnation).
 		Int64("offset", c.offset).Msg(message)
 }
