Go on with an interrupted stream only at upstreams of its version

What callers saw: an answer whose first events came from one software version of a service and whose rest came from another (ORDER), with status 200 and a complete end.

Cause: an upstream that broke a resumable stream off was replaced, within the same response, by any usable upstream of the service; its version was no input of the choice. Besides, the stream was sent to the same upstream again although it had left the list.

Change: once a stream has begun, only usable upstreams of its build (service and version) may go on with it; without one the stream is cut, as when none is left.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/refuser"
+	"github.com/citronpier/citronpier/watcher"
 )
 
 const (
@@ -60,6 +61,9 @@
 	// of the program. A new session's prompt begins with that of the session which
 	// started it.
 	programUpstream string
+	// build is the software that began the stream. Only upstreams that run it may go on
+	// with the stream. It is zero until the stream has begun, and for other requests.
+	build descriptor.Build
 	// generated counts the tokens of the events that were sent to the caller,
 	// including events whose write failed.
 	generated int64
@@ -104,7 +108,7 @@
 	if !ok {
 		return choice{}, false
 	}
-	return e.config.Tracker.choose(list.Usable(e.service.Name, now), choiceInput{
+	return e.config.Tracker.choose(e.usableUpstreams(list, now), choiceInput{
 		request:         e.request,
 		dataCentre:      e.config.DataCentre,
 		sessionUpstream: e.sessionUpstream,
@@ -115,6 +119,14 @@
 	}, now)
 }
 
+// usableUpstreams returns the upstreams of the service to which the request may be sent.
+func (e *exchange) usableUpstreams(list watcher.List, now time.Time) []descriptor.Upstream {
+	if e.build == (descriptor.Build{}) {
+		return list.Usable(e.service.Name, now)
+	}
+	return list.UsableOfBuild(e.build, now)
+}
+
 // send sends the request to one upstream after another until one answers. After a
 // failed attempt, it continues only if the request did not run or may run again. For
 // a stream, after is the id of the last event that the caller has received. If an
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -106,6 +106,10 @@
 	home      *fakeHome
 
 	mu sync.Mutex
+	// list is the service-discovery list.
+	list watcher.List
+	// listeners has the listeners of the upstreams, by name.
+	listeners map[string]net.Listener
 	// arrived lists the requests that upstreams received, in the order of their
 	// arrival. Each item is the upstream's name, a colon and the id of the last event
 	// that the caller has received.
@@ -167,6 +171,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
+	f.mu.Lock()
+	f.listeners[name] = listener
+	f.mu.Unlock()
 	requestCount := 0
 	go func() {
 		for {
@@ -201,15 +208,14 @@
 
 // newFixture returns a fixture whose home reserves budget for every turn.
 func newFixture() *fixture {
-	return &fixture{home: &fakeHome{verdict: messenger.BeginReply_RESERVED}}
+	return &fixture{home: &fakeHome{verdict: messenger.BeginReply_RESERVED}, listeners: make(map[string]net.Listener)}
 }
 
 // start creates the Forwarder, with one route of the given kind to the upstreams.
 func (f *fixture) start(t testing.TB, kind descriptor.Kind, attempts int, upstreams ...descriptor.Upstream) {
 	t.Helper()
-	var list watcher.List
 	for i, u := range upstreams {
-		list = list.WithUpstream(u, int64(i))
+		f.list = f.list.WithUpstream(u, int64(i))
 	}
 	configuration := descriptor.Configuration{
 		Version: 1,
@@ -222,7 +228,7 @@
 	f.forwarder = forwarder.New(forwarder.Config{
 		Shards:        4,
 		Configuration: func() descriptor.Configuration { return configuration },
-		Upstreams:     func() (watcher.List, bool) { return list, true },
+		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
 		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
 		Homes:         f.home,
 		Exchanger:     exchanger.New(codec{}, exchanger.NewDial(exchanger.UnackedUpstream)),
@@ -233,6 +239,28 @@
 	})
 }
 
+// listed returns the service-discovery list.
+func (f *fixture) listed() watcher.List {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list
+}
+
+// remove removes an upstream from the service-discovery list.
+func (f *fixture) remove(name string) {
+	const laterOffset = 1000
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = f.list.WithRemoved(name, laterOffset, time.Time{})
+}
+
+// crash makes an upstream accept no new connections.
+func (f *fixture) crash(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.listeners[name].Close()
+}
+
 // sink records the status and the body that a caller gets.
 type sink struct {
 	status int
@@ -281,7 +309,6 @@
 func TestServe(t *testing.T) {
 	idempotent, once := descriptor.Idempotent{}, descriptor.Once{}
 	stream, resumable := descriptor.Stream{}, descriptor.Stream{Resumable: true}
-	const threeEvents = "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n"
 	for _, c := range []struct {
 		name     string
 		kind     descriptor.Kind
@@ -309,7 +336,7 @@
 		{"a once request is not sent again while its response is late", once, 2, [][]script{{answerLate}, {answerOK}}, "200", "ok", []string{"u0:"}},
 		{"a stream", stream, 1, [][]script{{streamEvents(0)}}, "200", threeEvents, []string{"u0:"}},
 		{"a stream that broke off before its header", stream, 1, [][]script{{closeConnection}, {streamEvents(0)}}, "lost 502 unknown", "", []string{"u0:"}},
-		{"a stream that broke off is cut after a complete event", stream, 1, [][]script{{streamEvents(2)}, {streamEvents(0)}}, "cut cut", threeEvents[:32], []string{"u0:"}},
+		{"a stream that broke off is cut after a complete event", stream, 1, [][]script{{streamEvents(2)}, {streamEvents(0)}}, "cut cut", twoEvents, []string{"u0:"}},
 		{"a resumable stream is resumed after its last event", resumable, 1, [][]script{{streamEvents(2), streamEvents(0)}, {streamEvents(0)}}, "200", threeEvents, []string{"u0:", "u0:2"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -55,6 +55,7 @@
 func (e *exchange) relayStream(ctx context.Context, t *turn, response *exchanger.Response) Outcome {
 	e.mayHaveRun = true
 	e.firstByte = time.Now()
+	e.build = e.upstream.Build()
 	e.sink.Head(response.Status, response.Header, -1)
 	last := e.request.LastEvent
 	for {
@@ -183,9 +184,9 @@
 }
 
 // resume requests the events of an interrupted stream after the event with the id
-// last. It sends the request to the same upstream, or to another upstream if no
-// connection to the same upstream can be made. It returns nil if the stream can't be
-// resumed.
+// last. It sends the request to the same upstream, or to another upstream that runs the
+// same build if the same upstream is not usable any more or no connection to it can be
+// made. It returns nil if the stream can't be resumed.
 func (e *exchange) resume(ctx context.Context, t *turn, last string, cause error) *exchanger.Response {
 	var incomplete *exchanger.IncompleteError
 	if !t.kind.Resumable || ctx.Err() != nil || !errors.As(cause, &incomplete) {
@@ -194,7 +195,7 @@
 	e.config.Logger.Info().Err(cause).Str("id", e.request.ID).Str("upstream", e.upstream.ID).
 		Str("version", e.upstream.Version).Str("after", last).Msg("stream interrupted, resuming")
 	e.config.Counters.Retried(counter.RetryResume)
-	response, err := e.sendTo(ctx, choice{Upstream: e.upstream}, last, time.Now())
+	response, err := e.sendToSame(ctx, last, time.Now())
 	var unsent *connector.UnsentError
 	if errors.As(err, &unsent) {
 		e.tried = withTried(e.tried, e.upstream.ID)
@@ -212,3 +213,22 @@
 		Str("after", last).Msg("stream resumed")
 	return response
 }
+
+// sendToSame sends the request to the upstream that it was sent to before. The error is a
+// *connector.UnsentError if that upstream may not be sent requests any more.
+func (e *exchange) sendToSame(ctx context.Context, last string, now time.Time) (*exchanger.Response, error) {
+	list, _ := e.config.Upstreams()
+	for _, u := range e.usableUpstreams(list, now) {
+		if u.ID == e.upstream.ID {
+			return e.sendTo(ctx, choice{Upstream: u}, last, now)
+		}
+	}
+	return nil, &connector.UnsentError{Upstream: e.upstream.ID, Cause: &LeftError{}}
+}
+
+// LeftError reports that an upstream leaves, is gone, or runs another build than it did
+// when it was chosen.
+type LeftError struct{}
+
+// Error implements the error interface.
+func (*LeftError) Error() string { return "upstream has left or runs another build" }
--- a/watcher/list.go
+++ b/watcher/list.go
@@ -97,9 +97,21 @@
 // Usable returns the upstreams of a service that may be sent new requests, sorted
 // by id.
 func (l List) Usable(service string, now time.Time) []descriptor.Upstream {
+	return l.usableWhere(now, func(u descriptor.Upstream) bool { return u.Service == service })
+}
+
+// UsableOfBuild returns the upstreams that run a build and that may be sent new requests,
+// sorted by id.
+func (l List) UsableOfBuild(b descriptor.Build, now time.Time) []descriptor.Upstream {
+	return l.usableWhere(now, func(u descriptor.Upstream) bool { return u.Build() == b })
+}
+
+// usableWhere returns the upstreams that match and that may be sent new requests, sorted
+// by id.
+func (l List) usableWhere(now time.Time, matches func(u descriptor.Upstream) bool) []descriptor.Upstream {
 	var usable []descriptor.Upstream
 	for _, e := range l.entries {
-		if e.upstream.Service == service && e.usable(now) {
+		if matches(e.upstream) && e.usable(now) {
 			usable = append(usable, e.upstream)
 		}
 	}
