Resume a stream only at the software version that began it

What callers saw: a stream that broke off and that they resumed through any host was answered 200 and ran to its end, but its rest came from another software version of the service than its beginning (ORDER), with nothing in the answer to show it. Most when all hosts had died meanwhile.

Cause: no host knew which version had begun a stream. The caller names the attempt that began it, and the name was not read; the last event's id was passed on to any upstream. Class of fault: a request is continued by a peer that is chosen without the condition under which it may be continued.

Change: when the response to a resumable stream begins, the entry host tells the home of the program which build (service and version) began the stream of this attempt (Bind). A request that resumes a stream asks the home at Begin, and goes to upstreams of that build only. If the build is not known for sure or nobody runs it, the request is refused as not run (reason resume, 503), without Retry-After, as waiting does not help: the caller begins the turn again. A home of an earlier release names no build: refused.

--- a/counter/counter.go
+++ b/counter/counter.go
@@ -63,6 +63,7 @@
 	StageIntended   Stage = "intended"   // the intent to run the call at most once was recorded
 	StageDispatched Stage = "dispatched" // the call was assigned to an upstream to run it
 	StageAttached   Stage = "attached"   // the call was attached to a running call with the same key
+	StageResumed    Stage = "resumed"    // the call resumes a stream and the version that began the stream is known
 	StageAnswered   Stage = "answered"   // the call ended with a complete answer
 	StageFinished   Stage = "finished"   // the call's program finished
 )
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -89,6 +89,10 @@
 	return l.keeper.Begin(ctx, r, time.Now()), nil
 }
 
+func (l localHome) Bind(_ context.Context, r *messenger.BindRequest) (*messenger.BindReply, error) {
+	return l.keeper.Bind(r, time.Now()), nil
+}
+
 func (l localHome) End(ctx context.Context, r *messenger.EndRequest) (*messenger.EndReply, error) {
 	return l.keeper.End(ctx, r, time.Now())
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -253,6 +253,11 @@
 	if e.mayHaveRun {
 		return refused(refuser.New(refuser.Lost, "the answer was lost and no upstream is left").WithRun(descriptor.RunUnknown))
 	}
+	_, listed := e.config.Upstreams()
+	if listed && len(e.tried) == 0 && e.build != (descriptor.Build{}) {
+		return refused(refuser.New(refuser.Resume, "no upstream of service %s runs version %s, which began the stream",
+			e.service.Name, e.build.Version))
+	}
 	if len(e.tried) == 0 {
 		return refused(refuser.New(refuser.Capacity, "no upstream of service %s is listed", e.service.Name).WithRetry(retryAfterNoUpstream))
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,8 @@
 	// Begin reserves budget for a turn and returns the text of the earlier turns that
 	// the turn continues.
 	Begin(ctx context.Context, r *messenger.BeginRequest) (*messenger.BeginReply, error)
+	// Bind tells the home which build began the stream of an attempt.
+	Bind(ctx context.Context, r *messenger.BindRequest) (*messenger.BindReply, error)
 	// End settles the budget of a turn and, if r.Retain is set, records the turn in
 	// the store.
 	End(ctx context.Context, r *messenger.EndRequest) (*messenger.EndReply, error)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -125,6 +125,10 @@
 	// verdict and chain are the reply of Begin.
 	verdict messenger.BeginReply_Verdict
 	chain   string
+	// build is the build in the reply of Begin to a request that resumes a stream.
+	build *messenger.Build
+	// bound receives the requests of the calls of Bind.
+	bound chan *messenger.BindRequest
 	// ended has the requests of the calls of End, in order, and endErr is the error
 	// that End returns.
 	ended  []*messenger.EndRequest
@@ -139,8 +143,17 @@
 	unread int
 }
 
-func (h *fakeHome) Begin(context.Context, *messenger.BeginRequest) (*messenger.BeginReply, error) {
-	return &messenger.BeginReply{Verdict: h.verdict, Chain: []byte(h.chain)}, nil
+func (h *fakeHome) Begin(_ context.Context, r *messenger.BeginRequest) (*messenger.BeginReply, error) {
+	reply := &messenger.BeginReply{Verdict: h.verdict, Chain: []byte(h.chain)}
+	if r.GetResumes() != "" {
+		reply.Build = h.build
+	}
+	return reply, nil
+}
+
+func (h *fakeHome) Bind(_ context.Context, r *messenger.BindRequest) (*messenger.BindReply, error) {
+	h.bound <- proto.CloneOf(r)
+	return &messenger.BindReply{}, nil
 }
 
 func (h *fakeHome) End(_ context.Context, r *messenger.EndRequest) (*messenger.EndReply, error) {
@@ -208,7 +221,9 @@
 
 // newFixture returns a fixture whose home reserves budget for every turn.
 func newFixture() *fixture {
-	return &fixture{home: &fakeHome{verdict: messenger.BeginReply_RESERVED}, listeners: make(map[string]net.Listener)}
+	const maxBound = 16
+	home := &fakeHome{verdict: messenger.BeginReply_RESERVED, bound: make(chan *messenger.BindRequest, maxBound)}
+	return &fixture{home: home, listeners: make(map[string]net.Listener)}
 }
 
 // start creates the Forwarder, with one route of the given kind to the upstreams.
--- /dev/null
+++ b/forwarder/resume.go
@@ -0,0 +1,54 @@
+package forwarder
+
+import (
+	"context"
+
+	"github.com/citronpier/citronpier/counter"
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/keeper"
+	"github.com/citronpier/citronpier/messenger"
+	"github.com/citronpier/citronpier/refuser"
+)
+
+// resumesStream reports whether the caller wants to resume a stream that an earlier
+// attempt began.
+func (e *exchange) resumesStream(kind descriptor.Stream) bool {
+	return kind.Resumable && e.request.LastEvent != ""
+}
+
+// keepBuild restricts a request that resumes a stream to the upstreams of the build that
+// began the stream. It returns the outcome of the request if no upstream of its service
+// can run that build.
+func (e *exchange) keepBuild(b *messenger.Build) Outcome {
+	e.build = descriptor.Build{Service: b.GetService(), Version: b.GetVersion()}
+	if e.build.Service != e.service.Name {
+		return refused(refuser.New(refuser.Resume, "service %q began the stream, and the route leads to %q", e.build.Service, e.service.Name))
+	}
+	e.config.Counters.Reached(counter.StageResumed)
+	return nil
+}
+
+// bindStream keeps the build of the upstream that begins the stream, and tells the home of
+// the program, so that the stream can be resumed through any host. It does not wait for
+// the home: a stream whose build the home does not know is not resumed.
+func (e *exchange) bindStream(kind descriptor.Stream) {
+	if e.build != (descriptor.Build{}) {
+		return
+	}
+	e.build = e.upstream.Build()
+	if !kind.Resumable {
+		return
+	}
+	r := &messenger.BindRequest{
+		Shard:   int32(keeper.Shard(e.programID(), e.config.Shards)),
+		Attempt: e.request.ID,
+		Build:   &messenger.Build{Service: e.build.Service, Version: e.build.Version},
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(e.config.Background, settleTimeout)
+		defer cancel()
+		if _, err := e.config.Homes.Bind(ctx, r); err != nil {
+			e.config.Logger.Info().Err(err).Str("id", r.GetAttempt()).Msg("version of stream not kept by its home")
+		}
+	}()
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -55,7 +55,7 @@
 func (e *exchange) relayStream(ctx context.Context, t *turn, response *exchanger.Response) Outcome {
 	e.mayHaveRun = true
 	e.firstByte = time.Now()
-	e.build = e.upstream.Build()
+	e.bindStream(t.kind)
 	e.sink.Head(response.Status, response.Header, -1)
 	last := e.request.LastEvent
 	for {
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -58,9 +58,13 @@
 // the turns that it continues to the request's body. It returns the outcome of the
 // request if the turn must not run, and nil otherwise.
 func (e *exchange) beginTurn(ctx context.Context, t *turn) Outcome {
-	if e.request.Program == "" && !t.kind.Retain {
+	resumes := e.resumesStream(t.kind)
+	if e.request.Program == "" && !t.kind.Retain && !resumes {
 		return nil
 	}
+	if resumes && e.request.Resumes == "" {
+		return refused(refuser.New(refuser.Resume, "the attempt that began the stream is not named"))
+	}
 	chain, cached := e.chains.Get(e.request.Previous)
 	continues := t.kind.Retain && e.request.Previous != ""
 	beginRequest := &messenger.BeginRequest{
@@ -78,6 +82,9 @@
 	if continues {
 		beginRequest.Previous = e.request.Previous
 	}
+	if resumes {
+		beginRequest.Resumes = e.request.Resumes
+	}
 	start := time.Now()
 	reply, err := e.config.Homes.Begin(ctx, beginRequest)
 	e.config.Counters.Measured(counter.MeasureBegin, time.Since(start))
@@ -93,6 +100,12 @@
 	t.reserved = true
 	e.sessionUpstream, e.programUpstream = reply.GetUpstream(), reply.GetProgramUpstream()
 	e.config.Counters.Reached(counter.StageGranted)
+	if resumes {
+		if o := e.keepBuild(reply.GetBuild()); o != nil {
+			e.settleInBackground(t)
+			return o
+		}
+	}
 	if !continues {
 		return nil
 	}
@@ -108,12 +121,17 @@
 // programID returns the id of the program that determines the shard and the home of
 // the turn. A turn that names no program counts as a program of its own, whose id is
 // the id of the request. The turn is recorded in the shard of this id, where a later
-// turn that continues it finds the record.
+// turn that continues it finds the record. A request that resumes a stream belongs to the
+// program of the attempt that began the stream.
 func (e *exchange) programID() string {
-	if e.request.Program == "" {
+	switch {
+	case e.request.Program != "":
+		return e.request.Program
+	case e.request.LastEvent != "" && e.request.Resumes != "":
+		return e.request.Resumes
+	default:
 		return e.request.ID
 	}
-	return e.request.Program
 }
 
 // beginRefusal returns the outcome of a turn that its home refused, or nil if the
@@ -126,6 +144,8 @@
 		return refused(refuser.New(refuser.Budget, "the budget of %d tokens does not cover a turn of %d", r.Budget, r.MaxTokens))
 	case messenger.BeginReply_MISSING:
 		return refused(refuser.New(refuser.Turn, "no turn %q is kept", r.Previous))
+	case messenger.BeginReply_UNBOUND:
+		return refused(refuser.New(refuser.Resume, "the version that began the stream of attempt %q is not known", r.Resumes))
 	default:
 		return refused(refuser.New(refuser.Log, "the program's home can't use its records: %s", reply.GetDetail()).
 			WithRetry(retryAfterStoreFailure))
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -7,8 +7,11 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
 
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/keeper"
+	"github.com/citronpier/citronpier/messenger"
 )
 
 const (
@@ -58,3 +61,59 @@
 		})
 	}
 }
+
+// A caller resumes a stream after its second event. u0 of version v2 is preferred, because
+// it is in the same data centre; u1 has version v1.
+func TestCallerResumedStreamJoinedFromTwoVersions(t *testing.T) {
+	v1 := &messenger.Build{Service: "s", Version: "v1"}
+	for _, c := range []struct {
+		name    string
+		resumes string
+		// verdict and build are the home's reply.
+		verdict messenger.BeginReply_Verdict
+		build   *messenger.Build
+		outcome string
+		arrived []string
+	}{
+		{"the version serves", "first", messenger.BeginReply_RESERVED, v1, "200", []string{"u1:2"}},
+		{"the version has left", "first", messenger.BeginReply_RESERVED, &messenger.Build{Service: "s", Version: "v0"}, "resume 503 no", nil},
+		{"another service began the stream", "first", messenger.BeginReply_RESERVED, &messenger.Build{Service: "x", Version: "v1"}, "resume 503 no", nil},
+		{"the home does not know the version", "first", messenger.BeginReply_UNBOUND, nil, "resume 503 no", nil},
+		{"the home is of an earlier release and names no version", "first", messenger.BeginReply_RESERVED, nil, "resume 503 no", nil},
+		{"the caller does not name the first attempt", "", messenger.BeginReply_RESERVED, v1, "resume 503 no", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			f.home.verdict, f.home.build = c.verdict, c.build
+			near := f.startUpstream(t, "u0", streamEvents(0))
+			near.Version = "v2"
+			far := f.startUpstream(t, "u1", streamEvents(0))
+			far.Version, far.DataCentre = "v1", "far"
+			f.start(t, descriptor.Stream{Resumable: true}, 1, near, far)
+			r := request()
+			r.LastEvent, r.Resumes = "2", c.resumes
+			outcome, _ := f.serve(t, r)
+			arrived, _ := f.received()
+			if diff := cmp.Diff([]any{c.outcome, c.arrived}, []any{outcome, arrived}); diff != "" {
+				t.Errorf("outcome, arrivals (-want +got):\n%s", diff)
+			}
+			if len(f.home.bound) > 0 {
+				t.Error("the resuming attempt was bound like the beginning of a stream")
+			}
+		})
+	}
+}
+
+func TestVersionOfBegunStreamNotToldToHome(t *testing.T) {
+	f := newFixture()
+	u := f.startUpstream(t, "u", streamEvents(0))
+	u.Version = "v1"
+	f.start(t, descriptor.Stream{Resumable: true}, 1, u)
+	f.serve(t, request())
+	want := &messenger.BindRequest{
+		Shard: int32(keeper.Shard("id", 4)), Attempt: "id", Build: &messenger.Build{Service: "s", Version: "v1"},
+	}
+	if diff := cmp.Diff(want, <-f.home.bound, protocmp.Transform()); diff != "" {
+		t.Errorf("bound (-want +got):\n%s", diff)
+	}
+}
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/recorder"
 )
 
@@ -58,12 +59,19 @@
 	retention time.Duration
 }
 
+// bindingChange records which build began the stream of an attempt.
+type bindingChange struct {
+	attempt string
+	build   descriptor.Build
+}
+
 func (turnChange) kind()            {}
 func (rewriteTurnChange) kind()     {}
 func (rewriteSpendingChange) kind() {}
 func (reservationChange) kind()     {}
 func (settlementChange) kind()      {}
 func (allowanceChange) kind()       {}
+func (bindingChange) kind()         {}
 
 // newChange returns a change that is not queued yet.
 func newChange(program string, k kind) *change {
@@ -110,5 +118,9 @@
 		})
 	case allowanceChange:
 		b.Allowances = append(b.Allowances, &recorder.Allowance{Program: c.program, Amount: k.amount})
+	case bindingChange:
+		b.Bindings = append(b.Bindings, &recorder.Binding{
+			Attempt: k.attempt, Service: k.build.Service, Version: k.build.Version,
+		})
 	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -119,26 +119,31 @@
 }
 
 // Begin reserves budget for a turn and returns the chain that the turn continues: the
-// text of the previous turn and of all turns before it. Every failure is reported by
+// text of the previous turn and of all turns before it. For a request that resumes a
+// stream, it also returns the build that began the stream. Every failure is reported by
 // the verdict of the reply.
 func (k *Keeper) Begin(ctx context.Context, r *messenger.BeginRequest, now time.Time) *messenger.BeginReply {
 	s, ok := k.openShard(int(r.GetShard()), r.GetForce(), now)
 	if !ok {
 		return &messenger.BeginReply{Verdict: messenger.BeginReply_ELSEWHERE}
 	}
-	if needsStore := r.GetRetain() || !s.isLoaded(); needsStore && !k.awaitStore(ctx, r, now) {
+	if s.needsStore(r) && !k.awaitStore(ctx, r, now) {
 		return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the store is away"}
 	}
 	if err := s.load(ctx); err != nil {
 		return uncertainReply(err)
 	}
+	build, reply := k.findBuild(ctx, s, r)
+	if reply != nil {
+		return reply
+	}
 	chain, reply := k.findChain(ctx, s, r)
 	if reply != nil {
 		return reply
 	}
 	reply = k.reserveTurn(ctx, s, r, now)
 	if reply.GetVerdict() == messenger.BeginReply_RESERVED {
-		reply.Chain = chain
+		reply.Chain, reply.Build = chain, build
 		s.addHints(reply, r)
 	}
 	return reply
@@ -338,10 +343,12 @@
 }
 
 // Release gives back the allowances of this home, so that the next home can spend
-// them. It is called before a planned stop and does not wait for the appends.
+// them, and writes the deferred changes. It is called before a planned stop and does not
+// wait for the appends.
 func (k *Keeper) Release() {
 	for _, s := range k.openShards() {
 		s.releaseAllowances()
+		s.flushDeferred()
 	}
 }
 
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/citronpier/citronpier/connector"
+	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/historian"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/recorder"
@@ -42,6 +43,8 @@
 	// sessionUpstreams and programUpstreams hold the upstream that served the last turn of
 	// each session, and of any session of each program.
 	sessionUpstreams, programUpstreams lastUpstreams
+	// bindings holds the builds that began the streams of attempts.
+	bindings bindings
 	// otherChains caches chains that were found in other shards, by the id of the
 	// chain's last turn. A chain is the text of a turn and of all turns before it.
 	otherChains map[string][]byte
@@ -50,6 +53,8 @@
 	// deferred holds changes that are not urgent. They are written with the next
 	// append, or by the next Tick if that comes first.
 	deferred []*change
+	// flushScheduled is set while a timer runs that queues the deferred changes.
+	flushScheduled bool
 	// writing is set while a goroutine writes the queue.
 	writing bool
 	// unavailable is set while the partition accepts no appends although the rest of
@@ -215,6 +220,12 @@
 	for _, e := range b.GetSettlements() {
 		s.account(e.GetProgram(), 0, now).applyOtherSettlement(e.GetTurn(), e.GetGenerated())
 	}
+	for _, bound := range b.GetBindings() {
+		if age <= bindingTTL {
+			build := descriptor.Build{Service: bound.GetService(), Version: bound.GetVersion()}
+			s.bindings.add(bound.GetAttempt(), build, now.Add(-age))
+		}
+	}
 	for _, a := range b.GetAllowances() {
 		s.account(a.GetProgram(), 0, now).applyOtherAllowance(b.GetWriter(), a.GetAmount())
 	}
@@ -280,7 +291,7 @@
 	return text, ok
 }
 
-// prune drops turns, accounts, upstreams and cached chains that have expired.
+// prune drops turns, accounts, upstreams, bindings and cached chains that have expired.
 func (s *shard) prune(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -292,6 +303,7 @@
 	}
 	s.sessionUpstreams.prune(now)
 	s.programUpstreams.prune(now)
+	s.bindings.prune(now)
 	if len(s.otherChains) > maxOtherChains {
 		clear(s.otherChains)
 	}
--- a/navigator/navigator.go
+++ b/navigator/navigator.go
@@ -24,8 +24,8 @@
 	// host that has just become home first reads the shard from the store, and
 	// because a home may wait for an unavailable store.
 	beginTimeout = 3 * time.Second
-	// settleTimeout is the time limit of one attempt of End that does not record
-	// the turn in the store.
+	// settleTimeout is the time limit of one attempt of Bind, and of End that does not
+	// record the turn in the store.
 	settleTimeout = 500 * time.Millisecond
 	// suspectDuration is how long a host is avoided after a call to it failed.
 	suspectDuration = 500 * time.Millisecond
@@ -47,6 +47,7 @@
 // for this host and by a remote client for other hosts.
 type Home interface {
 	Begin(ctx context.Context, r *messenger.BeginRequest) (*messenger.BeginReply, error)
+	Bind(ctx context.Context, r *messenger.BindRequest) (*messenger.BindReply, error)
 	End(ctx context.Context, r *messenger.EndRequest) (*messenger.EndReply, error)
 	Find(ctx context.Context, r *messenger.FindRequest) (*messenger.FindReply, error)
 }
@@ -149,6 +150,17 @@
 		})
 }
 
+// Bind calls Bind at the home of the request's shard, which keeps the build that began the
+// stream of an attempt. Bind sets r.Force. The error is a *NoHomeError.
+func (n *Navigator) Bind(ctx context.Context, r *messenger.BindRequest) (*messenger.BindReply, error) {
+	return callHome(ctx, n, r.GetShard(), settleTimeout,
+		func(ctx context.Context, h Home, force bool) (*messenger.BindReply, bool, error) {
+			r.Force = force
+			reply, err := h.Bind(ctx, r)
+			return reply, reply.GetElsewhere(), err
+		})
+}
+
 // End calls End at the home of the request's shard, which settles a turn. If the
 // turn is retained, the home replies once the turn is recorded in the store or
 // the shard's partition turns out to be unavailable. End sets r.Force. The error
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -44,6 +44,7 @@
 	Unclaimed  Reason = "unclaimable" // the program has ended, or its records can't be used
 	Turn       Reason = "turn"        // the turn that the request continues is not stored
 	Capacity   Reason = "capacity"    // no upstream can take the request now
+	Resume     Reason = "resume"      // the stream to resume was begun by an unknown version, or by one that no upstream runs
 	Late       Reason = "late"        // the deadline passed before any upstream could have run the request
 	Timeout    Reason = "timeout"     // the deadline passed after an upstream may have begun to run the request
 )
@@ -93,6 +94,7 @@
 	Unclaimed:  http.StatusGone,
 	Turn:       http.StatusNotFound,
 	Capacity:   http.StatusServiceUnavailable,
+	Resume:     http.StatusServiceUnavailable,
 	Late:       http.StatusServiceUnavailable,
 	Timeout:    http.StatusGatewayTimeout,
 }
