Go on with streams at leaving upstreams of their version while these serve

What callers saw: a stream could not be resumed although upstreams of its version still served: all had begun to leave, and the only other version can't go on with it.

Cause: an upstream that leaves takes no new requests at once. That is right for new streams, which have others to go to.

Change: if no ready upstream runs the build of a stream, those take it on that this host saw begin to leave within half of the drain time (a new optional setting, from the platform's bounds). Upstreams that had left when the host first saw them don't count: nobody knows since when. The list's functions get the time at which a record was read.

Result: TestStreamOfLeavingVersionNotResumed fails before.

--- a/entry.go
+++ b/entry.go
@@ -39,7 +39,7 @@
 }
 
 // EntryConfig holds the parameters of an Entry. All fields are required except
-// Seeds, Retention, Dial and Grace.
+// Seeds, Retention, Dial, Grace and Drain.
 type EntryConfig struct {
 	// Host describes this host. Its ID is its peer address.
 	Host descriptor.Host
@@ -71,7 +71,10 @@
 	// exchanger.NewDial is used.
 	Dial connector.Dial
 	// Grace is the grace period: how long a planned stop may take; 0 means 8 s.
-	Grace  time.Duration
+	Grace time.Duration
+	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
+	// known.
+	Drain  time.Duration
 	Logger zerolog.Logger
 }
 
@@ -161,6 +164,7 @@
 		Configuration: e.watcher.Configuration,
 		Upstreams:     e.watcher.List,
 		RemoteLoads:   e.remoteLoads,
+		Drain:         c.Drain,
 		Homes:         e.navigator,
 		Exchanger:     e.exchanger,
 		Tracker:       &e.tracker,
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -22,6 +22,9 @@
 	// retryAfterNoUpstream is the delay after which a caller should retry when the
 	// service-discovery list has no usable upstream of the service.
 	retryAfterNoUpstream = 500 * time.Millisecond
+	// drainDivisor sets for how long a leaving upstream may go on with a stream: for this
+	// part of the time that it serves on. This host may have seen late that it leaves.
+	drainDivisor = 2
 )
 
 // exchange is the state of one request from its arrival to its outcome.
@@ -108,7 +111,7 @@
 	if !ok {
 		return choice{}, false
 	}
-	return e.config.Tracker.choose(e.usableUpstreams(list, now), choiceInput{
+	input := choiceInput{
 		request:         e.request,
 		dataCentre:      e.config.DataCentre,
 		sessionUpstream: e.sessionUpstream,
@@ -116,15 +119,20 @@
 		connected:       func(u descriptor.Upstream) bool { return e.config.Exchanger.HasIdle(u, now) },
 		tried:           e.tried,
 		remoteLoads:     e.config.RemoteLoads(now),
-	}, now)
-}
-
-// usableUpstreams returns the upstreams of the service to which the request may be sent.
-func (e *exchange) usableUpstreams(list watcher.List, now time.Time) []descriptor.Upstream {
+	}
 	if e.build == (descriptor.Build{}) {
-		return list.Usable(e.service.Name, now)
+		return e.config.Tracker.choose(list.Usable(e.service.Name, now), input, now)
 	}
-	return list.UsableOfBuild(e.build, now)
+	if chosen, ok := e.config.Tracker.choose(list.UsableOfBuild(e.build, now), input, now); ok {
+		return chosen, true
+	}
+	return e.config.Tracker.choose(e.leavingUpstreams(list, now), input, now)
+}
+
+// leavingUpstreams returns the upstreams of the stream's build that have begun to leave
+// so lately that they still take requests.
+func (e *exchange) leavingUpstreams(list watcher.List, now time.Time) []descriptor.Upstream {
+	return list.LeavingOfBuild(e.build, now.Add(-e.config.Drain/drainDivisor))
 }
 
 // send sends the request to one upstream after another until one answers. After a
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,11 +56,14 @@
 	// RemoteLoads returns the loads that other hosts report of upstreams, by the hash
 	// of the upstream's id.
 	RemoteLoads func(now time.Time) map[uint64]UpstreamLoad
-	Homes       HomeClient
-	Exchanger   *exchanger.Exchanger
-	Tracker     *UpstreamTracker
-	Counters    *counter.Set
-	Logger      zerolog.Logger
+	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
+	// known.
+	Drain     time.Duration
+	Homes     HomeClient
+	Exchanger *exchanger.Exchanger
+	Tracker   *UpstreamTracker
+	Counters  *counter.Set
+	Logger    zerolog.Logger
 	// Background is the context of work that continues after a request has ended. It
 	// ends when the host stops.
 	Background context.Context
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -226,11 +226,14 @@
 	return &fixture{home: home, listeners: make(map[string]net.Listener)}
 }
 
+// drain is how long the test upstreams serve on after they have begun to leave.
+const drain = 2 * time.Second
+
 // start creates the Forwarder, with one route of the given kind to the upstreams.
 func (f *fixture) start(t testing.TB, kind descriptor.Kind, attempts int, upstreams ...descriptor.Upstream) {
 	t.Helper()
 	for i, u := range upstreams {
-		f.list = f.list.WithUpstream(u, int64(i))
+		f.list = f.list.WithUpstream(u, int64(i), time.Now())
 	}
 	configuration := descriptor.Configuration{
 		Version: 1,
@@ -244,6 +247,7 @@
 		Shards:        4,
 		Configuration: func() descriptor.Configuration { return configuration },
 		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
+		Drain:         drain,
 		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
 		Homes:         f.home,
 		Exchanger:     exchanger.New(codec{}, exchanger.NewDial(exchanger.UnackedUpstream)),
@@ -266,7 +270,16 @@
 	const laterOffset = 1000
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.list = f.list.WithRemoved(name, laterOffset, time.Time{})
+	f.list = f.list.WithRemoved(name, laterOffset, time.Time{}, time.Now())
+}
+
+// leave marks an upstream as leaving since the given time.
+func (f *fixture) leave(u descriptor.Upstream, since time.Time) {
+	const laterOffset = 1000
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.HeartbeatSequence++
+	f.list = f.list.WithUpstream(u.WithLeaving(true), laterOffset, since)
 }
 
 // crash makes an upstream accept no new connections.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -195,14 +195,8 @@
 	e.config.Logger.Info().Err(cause).Str("id", e.request.ID).Str("upstream", e.upstream.ID).
 		Str("version", e.upstream.Version).Str("after", last).Msg("stream interrupted, resuming")
 	e.config.Counters.Retried(counter.RetryResume)
-	response, err := e.sendToSame(ctx, last, time.Now())
-	var unsent *connector.UnsentError
-	if errors.As(err, &unsent) {
-		e.tried = withTried(e.tried, e.upstream.ID)
-		response, _ = e.send(ctx, last)
-		err = nil
-	}
-	if err != nil || response == nil {
+	response := e.sendForRest(ctx, last)
+	if response == nil {
 		return nil
 	}
 	if response.Status != http.StatusOK {
@@ -214,21 +208,31 @@
 	return response
 }
 
-// sendToSame sends the request to the upstream that it was sent to before. The error is a
-// *connector.UnsentError if that upstream may not be sent requests any more.
-func (e *exchange) sendToSame(ctx context.Context, last string, now time.Time) (*exchanger.Response, error) {
+// sendForRest sends the request for the events after the event with the id last: to the
+// same upstream if it is usable and takes a connection, and otherwise to another one. It
+// returns nil if there is no response.
+func (e *exchange) sendForRest(ctx context.Context, last string) *exchanger.Response {
+	now := time.Now()
+	if same, ok := e.sameUpstream(now); ok {
+		response, err := e.sendTo(ctx, choice{Upstream: same}, last, now)
+		var unsent *connector.UnsentError
+		if !errors.As(err, &unsent) {
+			return response
+		}
+		e.tried = withTried(e.tried, same.ID)
+	}
+	response, _ := e.send(ctx, last)
+	return response
+}
+
+// sameUpstream returns the upstream that the request was sent to last, and false if it may
+// not be sent new requests or runs another build now.
+func (e *exchange) sameUpstream(now time.Time) (descriptor.Upstream, bool) {
 	list, _ := e.config.Upstreams()
-	for _, u := range e.usableUpstreams(list, now) {
+	for _, u := range list.UsableOfBuild(e.build, now) {
 		if u.ID == e.upstream.ID {
-			return e.sendTo(ctx, choice{Upstream: u}, last, now)
+			return u, true
 		}
 	}
-	return nil, &connector.UnsentError{Upstream: e.upstream.ID, Cause: &LeftError{}}
+	return descriptor.Upstream{}, false
 }
-
-// LeftError reports that an upstream leaves, is gone, or runs another build than it did
-// when it was chosen.
-type LeftError struct{}
-
-// Error implements the error interface.
-func (*LeftError) Error() string { return "upstream has left or runs another build" }
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/testing/protocmp"
@@ -117,3 +118,34 @@
 		t.Errorf("bound (-want +got):\n%s", diff)
 	}
 }
+
+// The only upstream of the version that began a stream leaves.
+func TestStreamOfLeavingVersionNotResumed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		since   time.Duration
+		outcome string
+		arrived []string
+	}{
+		{"it still serves", drain / 4, "200", []string{"u1:2"}},
+		{"it may have stopped", drain, "resume 503 no", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			f.home.build = &messenger.Build{Service: "s", Version: "v1"}
+			other := f.startUpstream(t, "u0", streamEvents(0))
+			other.Version = "v2"
+			leaving := f.startUpstream(t, "u1", streamEvents(0))
+			leaving.Version = "v1"
+			f.start(t, descriptor.Stream{Resumable: true}, 1, other, leaving)
+			f.leave(leaving, time.Now().Add(-c.since))
+			r := request()
+			r.LastEvent, r.Resumes = "2", "first"
+			outcome, _ := f.serve(t, r)
+			arrived, _ := f.received()
+			if diff := cmp.Diff([]any{c.outcome, c.arrived}, []any{outcome, arrived}); diff != "" {
+				t.Errorf("outcome, arrivals (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/watcher/list.go
+++ b/watcher/list.go
@@ -27,6 +27,10 @@
 	// removed is true if the newest record was a removal, or if WithOnly marked the
 	// upstream as removed.
 	removed bool
+	// leavingSince is when this host saw that the upstream began to leave or was removed. It
+	// is zero while the upstream is ready, and if the upstream had left before this host
+	// saw it ready.
+	leavingSince time.Time
 	// usableUntil is the time until which a removed upstream may still be used. Its
 	// record may have expired only because the upstream could not renew it while
 	// the store was unavailable.
@@ -42,15 +46,28 @@
 }
 
 // WithUpstream returns the list with the record u that an upstream published at the
-// given offset of the log. The list stays the same if u is older than the known
-// entry, according either to the offset or to the incarnation and heartbeat sequence
-// in u.
-func (l List) WithUpstream(u descriptor.Upstream, offset int64) List {
+// given offset of the log and that was read at now. The list stays the same if u is older
+// than the known entry, according either to the offset or to the incarnation and heartbeat
+// sequence in u.
+func (l List) WithUpstream(u descriptor.Upstream, offset int64, now time.Time) List {
 	old, known := l.entries[u.ID]
 	if known && (offset <= old.offset || isOlder(u, old.upstream)) {
 		return l
 	}
-	return l.withEntry(u.ID, entry{upstream: u, offset: offset})
+	next := entry{upstream: u, offset: offset}
+	if u.Leaving {
+		next.leavingSince = old.leftAt(now)
+	}
+	return l.withEntry(u.ID, next)
+}
+
+// leftAt returns when the upstream began to leave, given that it is seen to leave at now.
+func (e entry) leftAt(now time.Time) time.Time {
+	wasReady := e.upstream.ID != "" && !e.upstream.Leaving && !e.removed
+	if wasReady {
+		return now
+	}
+	return e.leavingSince
 }
 
 // isOlder reports whether an upstream published a before b. Both describe the same
@@ -61,24 +78,25 @@
 }
 
 // WithRemoved returns the list with an upstream marked as removed at the given offset
-// of the log. The upstream stays usable until usableUntil. The list stays the same
-// unless offset is newer than the offset of the known entry.
-func (l List) WithRemoved(id string, offset int64, usableUntil time.Time) List {
+// of the log, which was read at now. The upstream stays usable until usableUntil. The list
+// stays the same unless offset is newer than the offset of the known entry.
+func (l List) WithRemoved(id string, offset int64, usableUntil, now time.Time) List {
 	old, known := l.entries[id]
 	if !known || offset <= old.offset || old.removed {
 		return l
 	}
+	old.leavingSince = old.leftAt(now)
 	old.offset, old.removed, old.usableUntil = offset, true, usableUntil
 	return l.withEntry(id, old)
 }
 
 // WithOnly returns the list with all upstreams that are not in present marked as
-// removed at the given offset of the log. The marked upstreams stay usable until
-// usableUntil.
-func (l List) WithOnly(present map[string]bool, offset int64, usableUntil time.Time) List {
+// removed at the given offset of the log, which was read at now. The marked upstreams stay
+// usable until usableUntil.
+func (l List) WithOnly(present map[string]bool, offset int64, usableUntil, now time.Time) List {
 	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
 		if !present[id] {
-			l = l.WithRemoved(id, offset, usableUntil)
+			l = l.WithRemoved(id, offset, usableUntil, now)
 		}
 	}
 	return l
@@ -97,26 +115,31 @@
 // Usable returns the upstreams of a service that may be sent new requests, sorted
 // by id.
 func (l List) Usable(service string, now time.Time) []descriptor.Upstream {
-	return l.usableWhere(now, func(u descriptor.Upstream) bool { return u.Service == service })
+	return l.upstreams(func(e entry) bool { return e.upstream.Service == service && e.usable(now) })
 }
 
 // UsableOfBuild returns the upstreams that run a build and that may be sent new requests,
 // sorted by id.
 func (l List) UsableOfBuild(b descriptor.Build, now time.Time) []descriptor.Upstream {
-	return l.usableWhere(now, func(u descriptor.Upstream) bool { return u.Build() == b })
+	return l.upstreams(func(e entry) bool { return e.upstream.Build() == b && e.usable(now) })
 }
 
-// usableWhere returns the upstreams that match and that may be sent new requests, sorted
-// by id.
-func (l List) usableWhere(now time.Time, matches func(u descriptor.Upstream) bool) []descriptor.Upstream {
-	var usable []descriptor.Upstream
+// LeavingOfBuild returns the upstreams that run a build and that began to leave after the
+// given time, sorted by id. They go on serving for a while.
+func (l List) LeavingOfBuild(b descriptor.Build, after time.Time) []descriptor.Upstream {
+	return l.upstreams(func(e entry) bool { return e.upstream.Build() == b && e.leavingSince.After(after) })
+}
+
+// upstreams returns the upstreams whose entries match, sorted by id.
+func (l List) upstreams(matches func(e entry) bool) []descriptor.Upstream {
+	var matching []descriptor.Upstream
 	for _, e := range l.entries {
-		if matches(e.upstream) && e.usable(now) {
-			usable = append(usable, e.upstream)
+		if matches(e) {
+			matching = append(matching, e.upstream)
 		}
 	}
-	slices.SortFunc(usable, func(a, b descriptor.Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	return usable
+	slices.SortFunc(matching, func(a, b descriptor.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return matching
 }
 
 // All returns the upstreams that are not removed, including leaving upstreams, in no
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -182,6 +182,8 @@
 	key    string
 	value  []byte
 	offset int64
+	// readAt is when the record was read.
+	readAt time.Time
 	// usableUntil is the time until which an upstream that this change removes
 	// stays usable; zero means that the upstream is unusable at once.
 	usableUntil time.Time
@@ -222,7 +224,7 @@
 	defer w.mu.Unlock()
 	before := w.list
 	if len(c.value) == 0 {
-		w.list = w.list.WithRemoved(c.key, c.offset, c.usableUntil)
+		w.list = w.list.WithRemoved(c.key, c.offset, c.usableUntil, c.readAt)
 		w.logUpstream(c, before, "upstream removed")
 		return
 	}
@@ -230,10 +232,10 @@
 	if err != nil {
 		w.config.Counters.Dropped.Add("upstream", 1)
 		w.config.Logger.Warn().Err(err).Str("upstream", c.key).Int64("offset", c.offset).Msg("malformed upstream record, removing the upstream")
-		w.list = w.list.WithRemoved(c.key, c.offset, c.usableUntil)
+		w.list = w.list.WithRemoved(c.key, c.offset, c.usableUntil, c.readAt)
 		return
 	}
-	w.list = w.list.WithUpstream(u, c.offset)
+	w.list = w.list.WithUpstream(u, c.offset, c.readAt)
 	w.logUpstream(c, before, "upstream changed")
 }
 
@@ -252,11 +254,12 @@
 }
 
 // removeAbsentUpstreams marks all upstreams that are not in present as removed at the
-// given offset of the log. The marked upstreams stay usable until usableUntil.
-func (w *Watcher) removeAbsentUpstreams(present map[string]bool, offset int64, usableUntil time.Time) {
+// given offset of the log, which was read at now. The marked upstreams stay usable until
+// usableUntil.
+func (w *Watcher) removeAbsentUpstreams(present map[string]bool, offset int64, usableUntil, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.list = w.list.WithOnly(present, offset, usableUntil)
+	w.list = w.list.WithOnly(present, offset, usableUntil, now)
 }
 
 // follower reads one partition in which a record replaces all earlier records with
@@ -269,7 +272,7 @@
 	apply func(change)
 	// removeAbsent is called after the newest record of each key was read; present
 	// has the keys that have a record. It is nil if absent keys need no removal.
-	removeAbsent func(present map[string]bool, offset int64, usableUntil time.Time)
+	removeAbsent func(present map[string]bool, offset int64, usableUntil, now time.Time)
 	// nextOffset is the offset of the next record to read. It is valid only while
 	// snapshotRead is true.
 	nextOffset int64
@@ -298,9 +301,10 @@
 	if err != nil {
 		return fmt.Errorf("read %s: %w", f.partition, err)
 	}
-	f.recordAnswer(time.Now())
+	now := time.Now()
+	f.recordAnswer(now)
 	for _, record := range page.Values {
-		f.applyRecord(record)
+		f.applyRecord(record, now)
 	}
 	if len(page.Values) == 0 && page.End < f.nextOffset {
 		f.snapshotRead = false
@@ -308,9 +312,9 @@
 	return nil
 }
 
-// applyRecord decodes and applies the record at nextOffset, and advances
-// nextOffset. A malformed record is counted, logged and skipped.
-func (f *follower) applyRecord(record []byte) {
+// applyRecord decodes and applies the record at nextOffset, which was read at now, and
+// advances nextOffset. A malformed record is counted, logged and skipped.
+func (f *follower) applyRecord(record []byte, now time.Time) {
 	key, value, err := f.watcher.config.Decoder.DecodeKeyed(record)
 	offset := f.nextOffset
 	f.nextOffset++
@@ -320,7 +324,7 @@
 		f.watcher.config.Logger.Warn().Err(err).Int64("offset", offset).Msg("skipping malformed record")
 		return
 	}
-	f.apply(change{key: key, value: value, offset: offset, usableUntil: f.usableUntil})
+	f.apply(change{key: key, value: value, offset: offset, readAt: now, usableUntil: f.usableUntil})
 }
 
 // readNewest reads and applies the newest record of each key, and passes the keys
@@ -330,22 +334,23 @@
 	if err != nil {
 		return fmt.Errorf("read newest records of %s: %w", f.partition, err)
 	}
-	f.recordAnswer(time.Now())
+	now := time.Now()
+	f.recordAnswer(now)
 	present := make(map[string]bool)
 	for _, item := range newest.Items {
 		present[item.Key] = true
-		f.apply(change{key: item.Key, value: item.Value, offset: item.Offset, usableUntil: f.usableUntil})
+		f.apply(change{key: item.Key, value: item.Value, offset: item.Offset, readAt: now, usableUntil: f.usableUntil})
 	}
 	// Newest reads several pages, which together are no atomic snapshot. End is the
 	// end of the partition at the first page: reading continues from there, so that
 	// no change made in the meantime is missed.
 	from := newest.End
 	if f.removeAbsent != nil {
-		f.removeAbsent(present, max(0, from-1), f.usableUntil)
+		f.removeAbsent(present, max(0, from-1), f.usableUntil, now)
 	}
 	f.nextOffset = from
 	f.snapshotRead = true
-	f.watcher.keepNewest(f.partition, newest, time.Now())
+	f.watcher.keepNewest(f.partition, newest, now)
 	return nil
 }
 
