Refuse to resume a turn that is kept

What callers would see: the history of a program lacks the first events of a turn that the caller resumed, and the next turn's upstream gets another text than was said.

Cause: on a route that is resumable and retains turns, the host that serves the resuming attempt sees only the rest of the events, and recorded these as the turn's whole output.

Change: such a request is refused as not run (reason resume); the caller begins the turn again. Interruptions within one response are resumed as before: the host has all events.

Result: TestResumedTurnRecordedWithoutItsFirstEvents fails before (200, 1 record).

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -16,6 +16,20 @@
 	return kind.Resumable && e.request.LastEvent != ""
 }
 
+// unresumable returns the outcome of a request that resumes a stream, if no host can serve
+// it, and nil otherwise.
+func (e *exchange) unresumable(kind descriptor.Stream) Outcome {
+	switch {
+	case e.request.Resumes == "":
+		return refused(refuser.New(refuser.Resume, "the attempt that began the stream is not named"))
+	case kind.Retain:
+		// The turn would be recorded without the events that the caller has received.
+		return refused(refuser.New(refuser.Resume, "a turn that is kept has to begin again"))
+	default:
+		return nil
+	}
+}
+
 // keepBuild restricts a request that resumes a stream to the upstreams of the build that
 // began the stream. It returns the outcome of the request if no upstream of its service
 // can run that build.
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -62,8 +62,8 @@
 	if e.request.Program == "" && !t.kind.Retain && !resumes {
 		return nil
 	}
-	if resumes && e.request.Resumes == "" {
-		return refused(refuser.New(refuser.Resume, "the attempt that began the stream is not named"))
+	if o := e.unresumable(t.kind); resumes && o != nil {
+		return o
 	}
 	chain, cached := e.chains.Get(e.request.Previous)
 	continues := t.kind.Retain && e.request.Previous != ""
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -149,3 +149,17 @@
 		})
 	}
 }
+
+func TestResumedTurnRecordedWithoutItsFirstEvents(t *testing.T) {
+	f := newFixture()
+	f.home.build = &messenger.Build{Service: "s", Version: "v1"}
+	u := f.startUpstream(t, "u", streamEvents(0))
+	u.Version = "v1"
+	f.start(t, descriptor.Stream{Resumable: true, Retain: true}, 1, u)
+	r := request()
+	r.LastEvent, r.Resumes = "2", "first"
+	outcome, _ := f.serve(t, r)
+	if diff := cmp.Diff([]any{"resume 503 no", 0}, []any{outcome, len(f.home.ended)}); diff != "" {
+		t.Errorf("outcome, records (-want +got):\n%s", diff)
+	}
+}
