Take the chain of an answered turn from its entry host

Cause: a home whose shard lacks the chain that the turn continues searched all other shards for it at the end of the turn, although the entry host holds the chain: it has sent it to the upstream. If one shard can't be searched, its home has crashed, or the previous turn has expired while the turn ran, the search fails and End with it; and an entry host that gets this error avoids the home, though it is healthy.

Change: EndRequest.cached says that the entry host holds the chain. A home that lacks the chain then answers with EndReply.needs_chain instead of searching, and the entry host sends End again with the chain, which is recorded with the turn, as in a fallback shard. The bytes travel only then. A home that is not asked with cached searches as before: earlier entry hosts would take the reply for an unavailable shard. An earlier home does not know the field and searches as before. EndRequest.chain has presence now, so that a chain without text counts as sent; its encoding is the same otherwise.

New: a home asks for a chain only if it lacks it and the entry host holds it; the entry host sends it only then.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -141,6 +141,8 @@
 	// are answered as unavailable all the same: a host has become home of the shard and
 	// has not read it yet.
 	unread int
+	// chainless is true if the shards lack the chain of the previous turn.
+	chainless bool
 }
 
 func (h *fakeHome) Begin(_ context.Context, r *messenger.BeginRequest) (*messenger.BeginReply, error) {
@@ -171,6 +173,9 @@
 	if h.unavailable[r.GetShard()] && !r.GetPatient() {
 		return &messenger.EndReply{Away: true}, h.endErr
 	}
+	if h.chainless && r.GetCached() && r.Chain == nil {
+		return &messenger.EndReply{NeedsChain: true}, h.endErr
+	}
 	return &messenger.EndReply{Recorded: r.GetRetain()}, h.endErr
 }
 
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -189,7 +189,8 @@
 	r.Input = t.input
 	r.Output = t.output
 	r.Retention = t.kind.Retention.Milliseconds()
-	reply, err := e.config.Homes.End(ctx, r)
+	r.Cached = r.GetPrevious() != ""
+	reply, err := e.recordInOwnShard(ctx, t, r)
 	if err == nil && !reply.GetRecorded() {
 		err = e.recordAnywhere(ctx, t, r)
 	}
@@ -202,6 +203,24 @@
 	return nil
 }
 
+// recordInOwnShard sends a request that records a turn to the home of the turn's own shard.
+// If the home needs the text of the earlier turns, recordInOwnShard adds this text to the
+// request and sends the request again.
+func (e *exchange) recordInOwnShard(ctx context.Context, t *turn, r *messenger.EndRequest) (*messenger.EndReply, error) {
+	reply, err := e.config.Homes.End(ctx, r)
+	if err != nil || !reply.GetNeedsChain() {
+		return reply, err
+	}
+	r.Chain = e.previousChain(t)
+	return e.config.Homes.End(ctx, r)
+}
+
+// previousChain returns the text of the turns that the turn continues.
+func (e *exchange) previousChain(t *turn) []byte {
+	body := e.request.Body
+	return body[:len(body)-len(t.input)]
+}
+
 // recordAnywhere records a turn while the partition of its own shard is unavailable.
 // home is the request to that shard. If no fallback shard takes the record, home is sent
 // again, and the turn's own shard then waits for its partition. The shard's home may have
@@ -215,7 +234,7 @@
 		}
 		patient := proto.CloneOf(home)
 		patient.Patient = true
-		reply, err := e.config.Homes.End(ctx, patient)
+		reply, err := e.recordInOwnShard(ctx, t, patient)
 		if reply.GetRecorded() || err != nil {
 			return err
 		}
@@ -228,7 +247,7 @@
 // the record there because a turn is looked up in all shards. The fallback shards are
 // tried one after the other. It returns false if none of them took the record.
 func (e *exchange) recordInFallbackShard(ctx context.Context, t *turn, home *messenger.EndRequest) (bool, error) {
-	chain := e.request.Body[:len(e.request.Body)-len(t.input)]
+	chain := e.previousChain(t)
 	for _, shard := range keeper.FallbackShards(int(home.GetShard()), e.config.Shards) {
 		r := proto.CloneOf(home)
 		r.Shard, r.Aside, r.Chain = int32(shard), true, chain
--- a/forwarder/turn_test.go
+++ b/forwarder/turn_test.go
@@ -96,6 +96,44 @@
 	}
 }
 
+func TestChainNotSentToHomeThatNeedsIt(t *testing.T) {
+	type ended struct {
+		Chain             string
+		Sent              bool
+		Cached            bool
+		Generated, Retain any
+	}
+	first := ended{Cached: true, Generated: int64(54), Retain: true}
+	second := first
+	second.Sent, second.Chain = true, "old\n"
+	empty := second
+	empty.Chain = ""
+	for _, c := range []struct {
+		name      string
+		chainless bool
+		chain     string
+		want      []ended
+	}{
+		{"the home has the chain", false, "old\n", []ended{first}},
+		{"the home lacks the chain", true, "old\n", []ended{first, second}},
+		{"the earlier turns have no text", true, "", []ended{first, empty}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			f.home.chain, f.home.chainless = c.chain, c.chainless
+			f.start(t, retained(), 1, f.startUpstream(t, "u", streamEvents(0)))
+			outcome, _ := f.serve(t, turnRequest())
+			var got []ended
+			for _, r := range f.home.ended {
+				got = append(got, ended{string(r.GetChain()), r.Chain != nil, r.GetCached(), r.GetGenerated(), r.GetRetain()})
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" || outcome != "200" {
+				t.Errorf("outcome %s, ends (-want +got):\n%s", outcome, diff)
+			}
+		})
+	}
+}
+
 // While the partitions are unavailable, the home of the turn's shard moves to a host that
 // has not read the shard: that host can't record the turn either, and says so. The
 // response ends only once some shard has recorded the turn, and is cut if none does in
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -264,7 +264,9 @@
 // records the turn and returns once the record is in the store. The reply has Away
 // set if the turn could not be recorded because the shard's partition is
 // unavailable. The caller then records the turn in a fallback shard with a request
-// that has Aside set; that request settles nothing.
+// that has Aside set; that request settles nothing. The reply has NeedsChain set if the
+// shard lacks the chain of the previous turn and the caller holds it. The caller then
+// sends the request again with the chain.
 func (k *Keeper) End(ctx context.Context, r *messenger.EndRequest, now time.Time) (*messenger.EndReply, error) {
 	s, ok := k.openShard(int(r.GetShard()), r.GetForce(), now)
 	if !ok {
@@ -284,9 +286,12 @@
 	}
 	err := k.recordTurn(ctx, s, r)
 	var unavailableErr *UnavailableError
+	var chainErr *ChainRequiredError
 	switch {
 	case err == nil:
 		return &messenger.EndReply{Recorded: true}, nil
+	case errors.As(err, &chainErr):
+		return &messenger.EndReply{NeedsChain: true}, nil
 	case errors.As(err, &unavailableErr) || (!s.isLoaded() && k.isUnavailable(s.partition, time.Now())):
 		k.config.Logger.Info().Err(err).Str("id", r.GetTurn()).Str("shard", s.partition.String()).
 			Bool("aside", r.GetAside()).Msg("turn not recorded: partition is unavailable")
@@ -303,10 +308,7 @@
 	if err := s.load(ctx); err != nil {
 		return err
 	}
-	if r.GetAside() {
-		return s.appendTurn(ctx, r, s.missingChain(r))
-	}
-	chain, err := k.foreignChain(ctx, s, r.GetPrevious())
+	chain, err := k.foreignChain(ctx, s, r)
 	if err != nil {
 		return err
 	}
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -7,6 +7,15 @@
 	"github.com/citronpier/citronpier/messenger"
 )
 
+// ChainRequiredError reports that a shard lacks the chain of a turn, and that the entry
+// host holds it: the text of the turn and of all turns before it.
+type ChainRequiredError struct{ Turn string }
+
+// Error returns a message with the turn's id.
+func (e *ChainRequiredError) Error() string {
+	return "the shard lacks the chain of turn " + e.Turn + ", which the entry host holds"
+}
+
 // foreignChain returns the chain of the previous turn, that is, the text of that turn
 // and of all turns before it, if this shard does not have all these turns. The chain
 // then has to be recorded with the turn that continues it. Otherwise foreignChain
@@ -14,11 +23,29 @@
 //
 // This home may not have looked the chain up when the turn began: another home may
 // have handled Begin, or the entry host, which serves the caller, may have had the
-// chain cached.
-func (k *Keeper) foreignChain(ctx context.Context, s *shard, previous string) ([]byte, error) {
+// chain cached. The entry host holds the chain then. The error is a *ChainRequiredError
+// if the entry host has not sent the chain yet: other shards may be unavailable, and the
+// previous turn may have expired.
+func (k *Keeper) foreignChain(ctx context.Context, s *shard, r *messenger.EndRequest) ([]byte, error) {
+	previous := r.GetPrevious()
 	if previous == "" || s.hasChain(previous) {
 		return nil, nil
 	}
+	if r.Chain != nil || r.GetAside() {
+		return r.GetChain(), nil
+	}
+	if chain, ok := s.chain(previous); ok {
+		return chain, nil
+	}
+	if r.GetCached() {
+		return nil, &ChainRequiredError{Turn: previous}
+	}
+	return k.locateForeignChain(ctx, s, previous)
+}
+
+// locateForeignChain returns what foreignChain returns, for an entry host of an earlier
+// release, which sends no chain.
+func (k *Keeper) locateForeignChain(ctx context.Context, s *shard, previous string) ([]byte, error) {
 	chain, err := k.locateChain(ctx, s, previous)
 	if err != nil || s.hasChain(previous) {
 		return nil, err
@@ -33,16 +60,6 @@
 	return s.tree.HasChain(id)
 }
 
-// missingChain returns the chain that the request contains, that is, the text of all
-// turns before the request's turn, if the shard does not have all these turns.
-// Otherwise missingChain returns nil.
-func (s *shard) missingChain(r *messenger.EndRequest) []byte {
-	if r.GetPrevious() == "" || s.hasChain(r.GetPrevious()) {
-		return nil
-	}
-	return r.GetChain()
-}
-
 // appendTurn queues a turn and returns once the turn is in the store. previousChain
 // is the chain of the previous turn and is recorded together with the turn; nil if the
 // shard already has that chain. While the partition is unavailable, appendTurn
