Record an answered turn until its time is over, not until one error

Cause: recordTurn and recordAnywhere returned the first error of Homes.End. Navigator gives up after four attempts, within 60 ms if all hosts that it calls fail at once, as when homes move.

Change: an error counts as a turn that is not recorded: the fallback shards are tried, then the turn's own shard, in rounds until the caller's time is over. The pause between rounds doubles from 50 ms to 500 ms, because a round sends the texts several times. A repeated End is safe: a shard that has the turn answers that it is recorded, and a turn that is recorded in two shards is one turn with the same id and text. The stream ends as complete only after a reply with recorded and without an error, as before. An error for the whole time is a NotRecordedError.

Open: a turn that is recorded in a fallback shard after an error of its own home counts with its reservation, the maximum, until its home has settled it, as a turn that was cut before.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -133,10 +133,14 @@
 	// that End returns.
 	ended  []*messenger.EndRequest
 	endErr error
+	// recorded has the shard of each call of End that was answered with a record.
+	recorded []int32
 	// settled, unless nil, is closed at the first call of End.
 	settled chan struct{}
 	// unavailable has the shards whose partitions are unavailable.
 	unavailable map[int32]bool
+	// failed has the shards whose homes fail each call of End.
+	failed map[int32]bool
 	// unread is the number of requests of the kind that waits for the partition that
 	// are answered as unavailable all the same: a host has become home of the shard and
 	// has not read it yet.
@@ -166,6 +170,9 @@
 		close(h.settled)
 		h.settled = nil
 	}
+	if h.failed[r.GetShard()] {
+		return nil, io.ErrUnexpectedEOF
+	}
 	if r.GetPatient() && h.unread > 0 {
 		h.unread--
 		return &messenger.EndReply{Away: true}, nil
@@ -176,9 +183,27 @@
 	if h.chainless && r.GetCached() && r.Chain == nil {
 		return &messenger.EndReply{NeedsChain: true}, h.endErr
 	}
+	if r.GetRetain() && h.endErr == nil {
+		h.recorded = append(h.recorded, r.GetShard())
+	}
 	return &messenger.EndReply{Recorded: r.GetRetain()}, h.endErr
 }
 
+// setEndErr sets the error that End returns from now on.
+func (h *fakeHome) setEndErr(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.endErr = err
+}
+
+// records returns the shards that have recorded the turn, in order: a shard is named for each
+// call of End that it answered with success.
+func (h *fakeHome) records() []int32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.recorded
+}
+
 // startUpstream starts an upstream that answers the first request with the first
 // script, the second request with the second script, and so on. The last script also
 // answers all further requests.
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -28,9 +28,11 @@
 	// maxOutputBytes is the maximum size in bytes of the text that a turn generates and
 	// that is kept until it is recorded.
 	maxOutputBytes = 8 << 20
-	// recordPause is the time between two rounds of attempts to record a turn that no
-	// shard takes.
-	recordPause = 50 * time.Millisecond
+	// minRecordPause and maxRecordPause bound the time between two rounds of attempts to
+	// record a turn that no shard takes. The time doubles with each round: a round sends
+	// the text of the turn and of the earlier turns several times.
+	minRecordPause = 50 * time.Millisecond
+	maxRecordPause = 500 * time.Millisecond
 )
 
 // turn is the part of a streamed request's state that concerns the program: the
@@ -180,6 +182,19 @@
 	}()
 }
 
+// NotRecordedError reports that no shard has recorded a turn before the caller's time was
+// over. Cause is the error of the last attempt at the turn's own shard, or the error of the
+// context if that attempt ended without one.
+type NotRecordedError struct{ Cause error }
+
+// Error implements the error interface.
+func (e *NotRecordedError) Error() string {
+	return "no shard has recorded the turn: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotRecordedError) Unwrap() error { return e.Cause }
+
 // recordTurn settles and records a turn whose response is complete. It returns once
 // the record is in the store.
 func (e *exchange) recordTurn(ctx context.Context, t *turn) error {
@@ -190,9 +205,9 @@
 	r.Output = t.output
 	r.Retention = t.kind.Retention.Milliseconds()
 	r.Cached = r.GetPrevious() != ""
-	reply, err := e.recordInOwnShard(ctx, t, r)
-	if err == nil && !reply.GetRecorded() {
-		err = e.recordAnywhere(ctx, t, r)
+	recorded, err := e.recordInOwnShard(ctx, t, r)
+	if !recorded {
+		err = e.recordAnywhere(ctx, t, r, err)
 	}
 	if err != nil {
 		return err
@@ -205,14 +220,18 @@
 
 // recordInOwnShard sends a request that records a turn to the home of the turn's own shard.
 // If the home needs the text of the earlier turns, recordInOwnShard adds this text to the
-// request and sends the request again.
-func (e *exchange) recordInOwnShard(ctx context.Context, t *turn, r *messenger.EndRequest) (*messenger.EndReply, error) {
+// request and sends the request again. It returns true if the home has recorded the turn.
+// After an error, the home may have recorded the turn.
+func (e *exchange) recordInOwnShard(ctx context.Context, t *turn, r *messenger.EndRequest) (bool, error) {
 	reply, err := e.config.Homes.End(ctx, r)
-	if err != nil || !reply.GetNeedsChain() {
-		return reply, err
+	if err == nil && reply.GetNeedsChain() {
+		r.Chain = e.previousChain(t)
+		reply, err = e.config.Homes.End(ctx, r)
+	}
+	if err != nil {
+		return false, err
 	}
-	r.Chain = e.previousChain(t)
-	return e.config.Homes.End(ctx, r)
+	return reply.GetRecorded(), nil
 }
 
 // previousChain returns the text of the turns that the turn continues.
@@ -221,32 +240,37 @@
 	return body[:len(body)-len(t.input)]
 }
 
-// recordAnywhere records a turn while the partition of its own shard is unavailable.
-// home is the request to that shard. If no fallback shard takes the record, home is sent
-// again, and the turn's own shard then waits for its partition. The shard's home may have
-// moved to a host that can't read the shard and can't wait: then all is tried again,
-// until ctx ends.
-func (e *exchange) recordAnywhere(ctx context.Context, t *turn, home *messenger.EndRequest) error {
-	for {
-		recorded, err := e.recordInFallbackShard(ctx, t, home)
-		if recorded || err != nil {
-			return err
+// recordAnywhere records a turn whose own shard has not recorded it: the shard's partition
+// is unavailable, or the attempt has failed with err. home is the request to that shard. If
+// no fallback shard takes the record, home is sent again, and the turn's own shard then
+// waits for its partition. If that fails too, all is tried again until ctx ends: the
+// shard's home may be moving. A turn that is recorded twice is one turn. The error is a
+// *NotRecordedError.
+func (e *exchange) recordAnywhere(ctx context.Context, t *turn, home *messenger.EndRequest, err error) error {
+	patient := proto.CloneOf(home)
+	patient.Patient = true
+	for pause := minRecordPause; ctx.Err() == nil; pause = min(2*pause, maxRecordPause) {
+		if e.recordInFallbackShard(ctx, t, home) {
+			return nil
 		}
-		patient := proto.CloneOf(home)
-		patient.Patient = true
-		reply, err := e.recordInOwnShard(ctx, t, patient)
-		if reply.GetRecorded() || err != nil {
-			return err
+		var recorded bool
+		recorded, err = e.recordInOwnShard(ctx, t, patient)
+		if recorded {
+			return nil
 		}
-		e.config.Logger.Info().Str("id", home.GetTurn()).Int32("own", home.GetShard()).Msg("no shard has recorded the turn, trying again")
-		waiter.Sleep(ctx, recordPause)
+		e.config.Logger.Info().Err(err).Str("id", home.GetTurn()).Int32("own", home.GetShard()).Msg("no shard has recorded the turn, trying again")
+		waiter.Sleep(ctx, pause)
+	}
+	if err == nil {
+		err = ctx.Err()
 	}
+	return &NotRecordedError{Cause: err}
 }
 
 // recordInFallbackShard records a turn in another shard than its own. Later turns find
 // the record there because a turn is looked up in all shards. The fallback shards are
 // tried one after the other. It returns false if none of them took the record.
-func (e *exchange) recordInFallbackShard(ctx context.Context, t *turn, home *messenger.EndRequest) (bool, error) {
+func (e *exchange) recordInFallbackShard(ctx context.Context, t *turn, home *messenger.EndRequest) bool {
 	chain := e.previousChain(t)
 	for _, shard := range keeper.FallbackShards(int(home.GetShard()), e.config.Shards) {
 		r := proto.CloneOf(home)
@@ -256,11 +280,11 @@
 			Int("shard", shard).Bool("recorded", reply.GetRecorded()).Msg("tried to record turn in fallback shard")
 		if err == nil && reply.GetRecorded() {
 			e.config.Counters.Retried(counter.RetryFallbackShard)
-			return true, nil
+			return true
 		}
 		if ctx.Err() != nil {
-			return false, ctx.Err()
+			return false
 		}
 	}
-	return false, ctx.Err()
+	return false
 }
