Wait for the store at the end of a turn also where the shard is not read

What callers saw: the stream of a turn that was answered in full was cut at once, because its home moved during an outage of the store of half a second.

Cause: End at a home that has read the shard waits in its append; at a home that has not, the first failed read of the shard ends it. All hosts that Navigator calls fail so, each within the pause of 20 ms, and each is avoided for the next 500 ms.

Evidence, without the wait: "no host served the call as home of shard 0: read turns/0 from 0: store refused the request" after 60 ms of 4 s.

Change: End reads the shard again for up to 1 s, each 100 ms, unless its partition alone is unavailable: fallback shards take the turn then, as before. Then the error goes back, so that another host, which may reach the store, gets the turn.

The second test bounds the wait: 0.5 to 2 s.

--- a/keeper/end_test.go
+++ b/keeper/end_test.go
@@ -234,3 +234,53 @@
 		}
 	})
 }
+
+// The outage of half a second ends long before the caller's time.
+func TestAnsweredTurnCutByMoveOfItsHomeInAnOutage(t *testing.T) {
+	for _, moves := range []bool{false, true} {
+		t.Run(fmt.Sprint("home moves ", moves), func(t *testing.T) {
+			runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+				homes := map[string]*keeper.Keeper{"a": f.startHome(ctx, "a"), "b": f.startHome(ctx, "b"), "c": f.startHome(ctx, "c")}
+				var hosts []descriptor.Host
+				for name := range homes {
+					hosts = append(hosts, descriptor.Host{ID: name})
+				}
+				view := func(time.Time) locator.View { return locator.View{}.WithMembers(descriptor.Members{Hosts: hosts}) }
+				n := navigator.New(navigator.Config{
+					Self: "entry", View: view, Live: func(string) bool { return true },
+					Open:     func(h descriptor.Host) navigator.Home { return directHome{homes[h.ID]} },
+					Counters: &counter.Set{}, Logger: zerolog.Nop(),
+				})
+				if _, err := n.Begin(ctx, beginRequest("1", "")); err != nil {
+					t.Fatal(err)
+				}
+				synctest.Wait()
+				if moves {
+					first, _ := view(time.Now()).Home("shard/0", time.Now())
+					homes[first.ID] = f.startHome(ctx, "restarted")
+				}
+				f.store.SetFault(func(standin.Call) standin.Effect { return standin.Refuse })
+				time.AfterFunc(500*time.Millisecond, func() { f.store.SetFault(nil) })
+				limited, cancel := context.WithTimeout(ctx, 4*time.Second)
+				defer cancel()
+				began := time.Now()
+				got := []string{outcomeOf(n.End(limited, endRequest("1", ""))), chainAt(ctx, f.startHome(ctx, "later"), "1")}
+				if diff := cmp.Diff([]string{"recorded", "RESERVED in-1;out-1\n"}, got); diff != "" {
+					t.Errorf("end after %v, chain (-want +got):\n%s", time.Since(began), diff)
+				}
+			})
+		})
+	}
+}
+
+// A home that can't read the store at all hands the turn on to another host.
+func TestAnsweredTurnHeldByHomeWithoutStore(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		f.store.SetFault(func(standin.Call) standin.Effect { return standin.Refuse })
+		began := time.Now()
+		got := outcomeOf(endAt(f.startHome(ctx, "a"))(ctx, endRequest("1", "")))
+		if took := time.Since(began); got == "recorded" || took < 500*time.Millisecond || took > 2*time.Second {
+			t.Errorf("%s after %v", got, took)
+		}
+	})
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -305,7 +305,7 @@
 // the shard does not have. The text of the previous turn and of all turns before it
 // (its chain) is then recorded together with the new turn.
 func (k *Keeper) recordTurn(ctx context.Context, s *shard, r *messenger.EndRequest) error {
-	if err := s.load(ctx); err != nil {
+	if err := s.loadForEnd(ctx); err != nil {
 		return err
 	}
 	chain, err := k.foreignChain(ctx, s, r)
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/messenger"
 )
 
@@ -53,6 +54,31 @@
 	return chain, nil
 }
 
+const (
+	// maxLoadWait is how long the end of a turn waits for the store if the shard has not
+	// been read. Afterwards another host may try it.
+	maxLoadWait = time.Second
+	// loadPause is the time between two reads of a shard for which the end of a turn waits.
+	loadPause = 100 * time.Millisecond
+)
+
+// loadForEnd does what load does. If the whole store is unreachable, it tries again for up
+// to maxLoadWait: a home that has read the shard waits for the store, too.
+func (s *shard) loadForEnd(ctx context.Context) error {
+	deadline := time.Now().Add(maxLoadWait)
+	for {
+		err := s.load(ctx)
+		now := time.Now()
+		if err == nil || ctx.Err() != nil || !now.Before(deadline) {
+			return err
+		}
+		if s.keeper.isUnavailable(s.partition, now) {
+			return err
+		}
+		waiter.Sleep(ctx, loadPause)
+	}
+}
+
 // hasChain reports whether the shard itself has a turn and all turns before it.
 func (s *shard) hasChain(id string) bool {
 	s.mu.Lock()
