Keep the chain of a turn until the turn is recorded

Callers saw an acknowledged turn whose successor got 404 (MISSING), for good.

Cause, two places. (1) The home checks that it has the chain of the previous turn and then queues the turn. Until the append is done nothing holds the previous turn: Prune drops it when its own retention is over, and the turn is recorded without its chain. (2) addTurnRecords left the chain out if the shard had the previous turn, although turns before that were lost (Has where HasChain was meant); a tree ignored a whole chain for a turn that it knew.

Change: End keeps the previous turn and all turns before it for the turn's retention before it checks the chain, and no prune drops what a queued turn or one under append continues: an append may wait longer than the retention. A chain that is complete elsewhere is recorded if the shard's own is not, and completes the tree.

--- a/historian/tree.go
+++ b/historian/tree.go
@@ -26,7 +26,7 @@
 type Tree struct {
 	nodes map[string]*node
 	// missingUntil holds, for each turn that is not in nodes although a turn in
-	// nodes continues it, the time until which the missing turn will be needed. A
+	// nodes or a call of Keep needs it, the time until which it will be needed. A
 	// turn whose record was written again may be added after the turns that
 	// continue it.
 	missingUntil map[string]time.Time
@@ -47,17 +47,18 @@
 // Add adds a turn; age is the time since the turn's record was written to the
 // store. All turns before the added turn are then kept at least as long as the
 // added turn. Add reports whether the turn is new. For a known turn, Add updates
-// only the time of the turn's last record.
+// the time of the turn's last record, and takes the record's text if it is the whole
+// chain and the tree lacks turns before the turn.
 func (t *Tree) Add(turn Turn, age time.Duration, now time.Time) bool {
 	written := now.Add(-age)
 	if n, ok := t.nodes[turn.ID]; ok {
-		if n.lastWritten.Before(written) {
-			n.lastWritten = written
-		}
+		t.update(n, turn, written)
 		return false
 	}
 	if t.nodes == nil {
 		t.nodes = make(map[string]*node)
+	}
+	if t.missingUntil == nil {
 		t.missingUntil = make(map[string]time.Time)
 	}
 	n := &node{turn: turn, lastWritten: written}
@@ -72,6 +73,30 @@
 	return true
 }
 
+// update applies a further record of a known turn. A record without a previous turn
+// contains the whole chain of a turn that has one.
+func (t *Tree) update(n *node, turn Turn, written time.Time) {
+	if turn.Previous == "" && !t.HasChain(turn.ID) {
+		t.bytes -= n.size()
+		n.turn.Previous, n.turn.Input, n.turn.Output = "", turn.Input, turn.Output
+		t.bytes += n.size()
+		n.lastWritten = written
+		return
+	}
+	if n.lastWritten.Before(written) {
+		n.lastWritten = written
+	}
+}
+
+// Keep keeps a turn and all turns before it until the given time at least, including
+// those of them that are added later. A turn that is to continue the turn needs them.
+func (t *Tree) Keep(id string, keepUntil time.Time) {
+	if t.missingUntil == nil {
+		t.missingUntil = make(map[string]time.Time)
+	}
+	t.extendRetention(id, keepUntil)
+}
+
 // extendRetention keeps a turn and all turns before it until the given time at
 // least.
 func (t *Tree) extendRetention(id string, keepUntil time.Time) {
--- a/historian/tree_test.go
+++ b/historian/tree_test.go
@@ -92,3 +92,36 @@
 		t.Errorf("chain, %v (-want +got):\n%s", ok, diff)
 	}
 }
+
+// A record with the whole chain of a known turn completes the turn if turns before it are
+// lost, and changes nothing otherwise.
+func TestWholeChainOfKnownTurn(t *testing.T) {
+	whole := historian.Turn{ID: "b", Input: []byte("in-a;out-a\nin-b;out-b\n"), Retention: time.Minute}
+	for _, known := range [][]historian.Turn{{turn("b", "a")}, {turn("a", ""), turn("b", "a")}} {
+		var tree historian.Tree
+		for _, n := range known {
+			tree.Add(n, 0, start)
+		}
+		tree.Add(whole, 0, start)
+		got, ok := tree.Chain("b")
+		if diff := cmp.Diff(string(whole.Input), string(got)); diff != "" || !ok || tree.Len() != len(known) || tree.Bytes() != int64(len(got)) {
+			t.Errorf("chain, %v, %d turns, %d bytes (-want +got):\n%s", ok, tree.Len(), tree.Bytes(), diff)
+		}
+	}
+}
+
+// Keep keeps a chain, including turns of it that are added later.
+func TestKeep(t *testing.T) {
+	var tree historian.Tree
+	tree.Add(turn("b", "a"), 0, start)
+	tree.Keep("b", start.Add(2*time.Minute))
+	tree.Add(turn("a", ""), 0, start)
+	tree.Prune(start.Add(2 * time.Minute))
+	if !tree.HasChain("b") {
+		t.Error("the chain was dropped before its time")
+	}
+	tree.Prune(start.Add(2*time.Minute + time.Second))
+	if diff := cmp.Diff(0, tree.Len()); diff != "" {
+		t.Errorf("turns after that time (-want +got):\n%s", diff)
+	}
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -308,6 +308,7 @@
 	if err := s.loadForEnd(ctx); err != nil {
 		return err
 	}
+	s.keepPrevious(r, time.Now())
 	chain, err := k.foreignChain(ctx, s, r)
 	if err != nil {
 		return err
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -50,6 +50,8 @@
 	otherChains map[string][]byte
 	// queue holds the changes that wait for an append.
 	queue []*change
+	// appending holds the changes of the append that is under way.
+	appending []*change
 	// deferred holds changes that are not urgent. They are written with the next
 	// append, or by the next Tick if that comes first.
 	deferred []*change
@@ -295,6 +297,7 @@
 func (s *shard) prune(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keepPreviousOfQueued(now)
 	s.tree.Prune(now)
 	for program, a := range s.accounts {
 		if now.Sub(a.lastUsed) > accountRetentionFactor*max(a.retention, minAccountRetention) {
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -86,6 +86,28 @@
 	return s.tree.HasChain(id)
 }
 
+// keepPrevious keeps the previous turn of a turn that is to be recorded, and all turns
+// before it, for the turn's retention. The turn's record doesn't contain their text, so
+// they must not expire between the check of the chain and the append.
+func (s *shard) keepPrevious(r *messenger.EndRequest, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tree.Keep(r.GetPrevious(), now.Add(time.Duration(r.GetRetention())*time.Millisecond))
+}
+
+// keepPreviousOfQueued keeps the previous turns of all turns that wait for an append,
+// and all turns before them: an append may wait longer than the turn's retention. The
+// caller holds mu.
+func (s *shard) keepPreviousOfQueued(now time.Time) {
+	for _, changes := range [][]*change{s.appending, s.queue} {
+		for _, c := range changes {
+			if k, ok := c.kind.(turnChange); ok {
+				s.tree.Keep(k.turn.GetPrevious(), now)
+			}
+		}
+	}
+}
+
 // appendTurn queues a turn and returns once the turn is in the store. previousChain
 // is the chain of the previous turn and is recorded together with the turn; nil if the
 // shard already has that chain. While the partition is unavailable, appendTurn
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -77,12 +77,14 @@
 	ctx := s.keeper.ctx
 	for {
 		s.mu.Lock()
+		s.appending = nil
 		if len(s.queue) == 0 || ctx.Err() != nil {
 			s.writing = false
 			s.mu.Unlock()
 			return
 		}
 		taken := s.takeBatch()
+		s.appending = taken
 		s.mu.Unlock()
 		err := s.commitChanges(ctx, taken)
 		if err != nil {
@@ -148,13 +150,14 @@
 
 // addTurnRecords adds a turn to a batch, unless the shard has the turn already. If
 // the change contains the chain of the previous turn (the text of that turn and of all
-// turns before it), the chain is added as a separate turn, with the previous turn's id.
+// turns before it) and the shard lacks any of these turns, the chain is added as a
+// separate turn, with the previous turn's id.
 // The caller holds mu.
 func (s *shard) addTurnRecords(message *recorder.ShardBatch, c turnChange) {
 	if s.tree.Has(c.turn.GetId()) {
 		return
 	}
-	if previous := c.turn.GetPrevious(); c.previousChain != nil && !s.tree.Has(previous) {
+	if previous := c.turn.GetPrevious(); c.previousChain != nil && !s.tree.HasChain(previous) {
 		message.Turns = append(message.Turns, &recorder.Turn{
 			Id: previous, Input: c.previousChain, Retention: c.turn.GetRetention(),
 		})
