Count a rewritten record as written once its append has succeeded

Callers saw 404 for turns that were still kept, and programs got a spent budget again, once the store had dropped the only record. Callers' turns were refused with a full queue while a home wrote many records again.

Cause: TakeDue and the sums set the time of the last record before the copy was queued; a full queue, or an append that failed, was only logged. Rewrites had no bound of their own in the queue of 1024 changes.

Change: Due only names the turns, the oldest first; the time changes when the record is in the store. A shard remembers the copies that are under way and queues no record twice; what failed stays due for the next tick. At most a quarter of the queue is for rewriting.

TestTakeDue asked that a turn be named once only, which is the fault. TestDue asks that it be named until it is written again, and no longer, and checks the order too.

Measured: all pass; go test ./keeper ./historian ./challenger passes.

--- a/historian/tree.go
+++ b/historian/tree.go
@@ -1,7 +1,9 @@
 package historian
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -151,18 +153,23 @@
 	return ok
 }
 
-// TakeDue returns the turns that were last written to the store before the cutoff.
-// The caller must write these turns again: TakeDue already sets the time of their
-// last record to now.
-func (t *Tree) TakeDue(cutoff, now time.Time) []Turn {
-	var due []Turn
+// Due returns the turns that were last written to the store before the cutoff, the
+// oldest first. They are due until Add is called for their new record.
+func (t *Tree) Due(cutoff time.Time) []Turn {
+	var due []*node
 	for _, n := range t.nodes {
 		if n.lastWritten.Before(cutoff) {
-			n.lastWritten = now
-			due = append(due, n.turn)
+			due = append(due, n)
 		}
 	}
-	return due
+	slices.SortFunc(due, func(a, b *node) int {
+		return cmp.Or(a.lastWritten.Compare(b.lastWritten), cmp.Compare(a.turn.ID, b.turn.ID))
+	})
+	turns := make([]Turn, len(due))
+	for i, n := range due {
+		turns[i] = n.turn
+	}
+	return turns
 }
 
 // Prune drops the turns that are no longer needed at the given time.
--- a/historian/tree_test.go
+++ b/historian/tree_test.go
@@ -64,18 +64,27 @@
 	}
 }
 
-// TakeDue returns only turns that were last written before the cutoff, and returns each
-// of them once.
-func TestTakeDue(t *testing.T) {
+// Due returns only turns that were last written before the cutoff, the oldest first, and
+// returns each of them until it is written again.
+func TestDue(t *testing.T) {
 	var tree historian.Tree
 	tree.Add(turn("young", ""), 0, start)
 	tree.Add(turn("old", ""), time.Minute, start)
-	var got []string
-	for _, n := range tree.TakeDue(start.Add(-time.Second), start) {
-		got = append(got, n.ID)
+	tree.Add(turn("oldest", ""), time.Hour, start)
+	due := func() (ids []string) {
+		for _, n := range tree.Due(start.Add(-time.Second)) {
+			ids = append(ids, n.ID)
+		}
+		return ids
 	}
-	if diff := cmp.Diff([]string{"old"}, got); diff != "" || len(tree.TakeDue(start.Add(-time.Second), start)) > 0 {
-		t.Errorf("due once (-want +got):\n%s", diff)
+	got := [][]string{due(), due()}
+	tree.Add(turn("oldest", ""), 0, start)
+	got = append(got, due())
+	tree.Add(turn("old", ""), 0, start)
+	got = append(got, due())
+	want := [][]string{{"oldest", "old"}, {"oldest", "old"}, {"old"}, nil}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("turns that are due (-want +got):\n%s", diff)
 	}
 }
 
--- a/keeper/account.go
+++ b/keeper/account.go
@@ -108,6 +108,8 @@
 		a.applyRecordedSettlement(k.turn.GetId())
 	case settlementChange:
 		a.applyRecordedSettlement(k.turn)
+	case rewriteSpendingChange:
+		a.sumWritten = k.taken
 	case allowanceChange:
 		a.escrow.Allowance = k.amount
 	}
@@ -263,40 +265,6 @@
 	}
 }
 
-// rewriteExpiring queues new copies of the records that are still needed and that
-// the store will drop soon: turns, and the sum of settlements of each program.
-func (s *shard) rewriteExpiring(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	cutoff := now.Add(-s.keeper.config.Retention / rewriteDivisor)
-	for _, t := range s.tree.TakeDue(cutoff, now) {
-		s.enqueueRewrite(newChange("", rewriteTurnChange{turn: &recorder.Turn{
-			Id: t.ID, Previous: t.Previous, Input: t.Input, Output: t.Output, Retention: t.Retention.Milliseconds(),
-		}}))
-	}
-	for program, a := range s.accounts {
-		if a.sumWritten.IsZero() {
-			a.sumWritten = now
-		}
-		if a.sumWritten.Before(cutoff) && a.escrow.Settled > 0 {
-			a.sumWritten = now
-			s.enqueueRewrite(newChange(program, rewriteSpendingChange{settled: a.escrow.Settled, retention: a.retention}))
-		}
-	}
-}
-
-// enqueueRewrite queues a change that writes a record again. If the queue is full,
-// the error is only logged. The caller holds mu.
-func (s *shard) enqueueRewrite(c *change) {
-	if err := s.enqueue(c); err != nil {
-		s.logger.Warn().Err(err).Msg("record not rewritten")
-	}
-}
-
-// rewriteDivisor sets when records are written again: once they are older than half
-// of the store's retention.
-const rewriteDivisor = 2
-
 // turnRecord returns the store's record of a completely answered turn.
 func turnRecord(r *messenger.EndRequest) *recorder.Turn {
 	return &recorder.Turn{
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -57,6 +57,8 @@
 	settled int64
 	// retention is how long the program's account is kept after its last use.
 	retention time.Duration
+	// taken is when the sum was taken.
+	taken time.Time
 }
 
 // bindingChange records which build began the stream of an attempt.
@@ -84,6 +86,16 @@
 	close(c.done)
 }
 
+// isComplete reports whether the append has ended.
+func (c *change) isComplete() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // estimatedBytes returns the approximate size of the change's record.
 func (c *change) estimatedBytes() int {
 	const recordOverhead = 64
--- a/keeper/retention_test.go
+++ b/keeper/retention_test.go
@@ -87,3 +87,144 @@
 		}
 	})
 }
+
+// storeRetention is how long the store keeps records in tests of rewriting.
+const storeRetention = 300 * time.Second
+
+// startRewritingHome starts a Keeper whose store keeps records for storeRetention.
+func (f *fixture) startRewritingHome(ctx context.Context, name string) *keeper.Keeper {
+	return keeper.New(ctx, keeper.Config{
+		Incarnation: name, Store: f.store.Host(name), Partitions: partitions, RecordBytes: 1 << 10, Retention: storeRetention,
+		Home:           func(int, time.Time) bool { return true },
+		StoreReachable: func(time.Time) bool { return true },
+		Search:         func(context.Context, string, []int) ([]byte, bool, bool) { return nil, false, true },
+		Counters:       &counter.Set{}, Logger: zerolog.Nop(),
+	})
+}
+
+// tickUntil calls Tick each second until the given time.
+func tickUntil(k *keeper.Keeper, until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Second)
+		k.Tick(time.Now())
+	}
+	synctest.Wait()
+}
+
+// tickWithFullQueue calls Tick while as many turns of program q wait for the store as the
+// queue takes.
+func (f *fixture) tickWithFullQueue(ctx context.Context, k *keeper.Keeper) {
+	f.store.SetFault(refuseAppends)
+	for i := range 1200 {
+		r := endRequest(fmt.Sprint("other", i), "")
+		r.Program = "q"
+		go func() { _, _ = k.End(ctx, r, time.Now()) }()
+	}
+	time.Sleep(time.Second)
+	k.Tick(time.Now())
+	f.store.SetFault(nil)
+}
+
+// spend runs a turn that generates 60 tokens of program p's budget of 100.
+func spend(ctx context.Context, t *testing.T, k *keeper.Keeper) {
+	t.Helper()
+	begin, end := beginRequest("1", ""), endRequest("1", "")
+	begin.Most, end.Generated = 60, 60
+	begin.Retention, end.Retention = time.Hour.Milliseconds(), time.Hour.Milliseconds()
+	if v := k.Begin(ctx, begin, time.Now()).GetVerdict(); v != messenger.BeginReply_RESERVED {
+		t.Fatalf("begin: %v", v)
+	}
+	if diff := cmp.Diff("recorded", outcomeOf(k.End(ctx, end, time.Now()))); diff != "" {
+		t.Fatalf("end (-want +got):\n%s", diff)
+	}
+	k.Release()
+	synctest.Wait()
+}
+
+// verdictOf returns the verdict on a turn of program p of at most the given number of
+// tokens.
+func verdictOf(ctx context.Context, k *keeper.Keeper, id string, most int64) messenger.BeginReply_Verdict {
+	r := beginRequest(id, "")
+	r.Most = most
+	return k.Begin(ctx, r, time.Now()).GetVerdict()
+}
+
+// A turn that is still kept is lost with its only record, because the copy of the record
+// was counted as written when its append had not been queued.
+func TestRecordThatCouldNotBeRewrittenIsRewrittenLater(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		a := f.startRewritingHome(ctx, "a")
+		r := endRequest("1", "")
+		r.Retention = time.Hour.Milliseconds()
+		if diff := cmp.Diff("recorded", outcomeOf(a.End(ctx, r, time.Now()))); diff != "" {
+			t.Fatalf("end (-want +got):\n%s", diff)
+		}
+		synctest.Wait()
+		written, old := time.Now(), f.store.Len(partitions[0])
+		time.Sleep(storeRetention/2 + time.Second)
+		f.tickWithFullQueue(ctx, a)
+		tickUntil(a, written.Add(storeRetention))
+		f.store.Trim(partitions[0], old)
+		verdict := f.startRewritingHome(ctx, "b").Begin(ctx, beginRequest("2", "1"), time.Now()).GetVerdict()
+		if diff := cmp.Diff(messenger.BeginReply_RESERVED, verdict); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A spent budget is granted again, because the sum was counted as written when its append
+// had not been queued.
+func TestSumThatCouldNotBeRewrittenIsRewrittenLater(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		a := f.startRewritingHome(ctx, "a")
+		spend(ctx, t, a)
+		written, old := time.Now(), f.store.Len(partitions[0])
+		a.Tick(time.Now())
+		time.Sleep(storeRetention/2 + time.Second)
+		f.tickWithFullQueue(ctx, a)
+		tickUntil(a, written.Add(storeRetention))
+		f.store.Trim(partitions[0], old)
+		verdict := verdictOf(ctx, f.startRewritingHome(ctx, "b"), "2", 41)
+		if diff := cmp.Diff(messenger.BeginReply_EXCEEDED, verdict); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Callers' turns are refused, because the records that are due for rewriting fill the
+// queue.
+func TestRewritesLeaveRoomForTurns(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		a := f.startRewritingHome(ctx, "a")
+		for i := range 1200 {
+			r := endRequest(fmt.Sprint("old", i), "")
+			r.Retention = time.Hour.Milliseconds()
+			if diff := cmp.Diff("recorded", outcomeOf(a.End(ctx, r, time.Now()))); diff != "" {
+				t.Fatalf("end (-want +got):\n%s", diff)
+			}
+		}
+		synctest.Wait()
+		written, old := time.Now(), f.store.Len(partitions[0])
+		time.Sleep(storeRetention/2 + time.Second)
+		f.store.SetFault(refuseAppends)
+		a.Tick(time.Now())
+		time.AfterFunc(time.Second, func() { f.store.SetFault(nil) })
+		if diff := cmp.Diff("recorded", outcomeOf(a.End(ctx, endRequest("new", ""), time.Now()))); diff != "" {
+			t.Errorf("end (-want +got):\n%s", diff)
+		}
+		tickUntil(a, written.Add(storeRetention))
+		f.store.Trim(partitions[0], old)
+		b := f.startRewritingHome(ctx, "b")
+		lost := 0
+		for i := range 1200 {
+			r := beginRequest(fmt.Sprint("next", i), fmt.Sprint("old", i))
+			r.Budget = 1 << 20
+			if b.Begin(ctx, r, time.Now()).GetVerdict() != messenger.BeginReply_RESERVED {
+				lost++
+			}
+		}
+		if diff := cmp.Diff(0, lost); diff != "" {
+			t.Errorf("lost turns (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -52,6 +52,8 @@
 	queue []*change
 	// appending holds the changes of the append that is under way.
 	appending []*change
+	// rewrites holds the changes under way that write records again.
+	rewrites map[rewriteKey]*change
 	// deferred holds changes that are not urgent. They are written with the next
 	// append, or by the next Tick if that comes first.
 	deferred []*change
