Date the sum of settlements by the records that were read

A program got a spent budget again when its home had changed after more than half of the store's retention.

Cause: a home that reads a shard counted the sum of settlements as written at its first tick, though the records it had read may be as old as the store's retention.

Change: the sum is as old as the first settlement that was read, or as a record of a sum that includes at least as much as was read before it.

Open: reservations and allowances of homes that are gone are not rewritten, so that what they took is free again once the store drops their records.

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -23,7 +23,9 @@
 	// retention determines how long the account is kept after lastUsed.
 	retention time.Duration
 	lastUsed  time.Time
-	// sumWritten is when the sum of settlements was last written to the store.
+	// sumWritten is when the sum of settlements was last written to the store or, without
+	// a record of the sum, when the oldest settlement that was read was written. It is
+	// zero until one of them is read or rewriteSums is called.
 	sumWritten time.Time
 }
 
@@ -55,7 +57,11 @@
 // without a reservation was covered by the other home's allowance. The whole allowance
 // already counts as spent, and the turn's tokens are nevertheless added to Settled. So
 // these tokens may be counted twice.
-func (a *account) applyOtherSettlement(turn string, generated int64) {
+// written is when the settlement was written to the store.
+func (a *account) applyOtherSettlement(turn string, generated int64, written time.Time) {
+	if a.sumWritten.IsZero() {
+		a.sumWritten = written
+	}
 	res, ok := a.reservations[turn]
 	if !ok {
 		a.escrow.Settled += generated
@@ -74,9 +80,13 @@
 // recorded sum and the sum in memory may include the same settlements, so they are not
 // added. The recorded sum may lack the newest settlements, and the sum in memory may
 // lack settlements that the store dropped before this home read the partition. So the
-// larger sum is kept.
-func (a *account) applyOtherSpending(settled int64) {
-	a.escrow.Settled = max(a.escrow.Settled, settled)
+// larger sum is kept. written is when the sum was written to the store.
+func (a *account) applyOtherSpending(settled int64, written time.Time) {
+	if settled < a.escrow.Settled {
+		return
+	}
+	a.escrow.Settled = settled
+	a.sumWritten = written
 }
 
 // applyOtherAllowance applies an allowance that another home recorded. It replaces
--- a/keeper/retention_test.go
+++ b/keeper/retention_test.go
@@ -191,6 +191,27 @@
 	})
 }
 
+// A spent budget is granted again, because a home that reads old settlements counts their
+// sum as written when it reads them.
+func TestSumOfOldSettlementsIsRewrittenInTime(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		spend(ctx, t, f.startRewritingHome(ctx, "a"))
+		written, old := time.Now(), f.store.Len(partitions[0])
+		time.Sleep(storeRetention * 8 / 10)
+		b := f.startRewritingHome(ctx, "b")
+		if v := verdictOf(ctx, b, "2", 1); v != messenger.BeginReply_RESERVED {
+			t.Fatalf("begin: %v", v)
+		}
+		b.Release()
+		tickUntil(b, written.Add(storeRetention))
+		f.store.Trim(partitions[0], old)
+		verdict := verdictOf(ctx, f.startRewritingHome(ctx, "c"), "3", 41)
+		if diff := cmp.Diff(messenger.BeginReply_EXCEEDED, verdict); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // Callers' turns are refused, because the records that are due for rewriting fill the
 // queue.
 func TestRewritesLeaveRoomForTurns(t *testing.T) {
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -212,17 +212,19 @@
 			applyOtherReservation(h.GetTurn(), h.GetMost())
 	}
 	age := max(0, now.Sub(time.UnixMilli(b.GetWritten())))
+	written := now.Add(-age)
 	for _, e := range b.GetSpendings() {
-		s.account(e.GetProgram(), time.Duration(e.GetRetention())*time.Millisecond, now).applyOtherSpending(e.GetSettled())
+		s.account(e.GetProgram(), time.Duration(e.GetRetention())*time.Millisecond, now).
+			applyOtherSpending(e.GetSettled(), written)
 	}
 	for _, t := range b.GetTurns() {
 		s.addTurn(t, age, now)
 		if t.GetProgram() != "" {
-			s.account(t.GetProgram(), 0, now).applyOtherSettlement(t.GetId(), t.GetGenerated())
+			s.account(t.GetProgram(), 0, now).applyOtherSettlement(t.GetId(), t.GetGenerated(), written)
 		}
 	}
 	for _, e := range b.GetSettlements() {
-		s.account(e.GetProgram(), 0, now).applyOtherSettlement(e.GetTurn(), e.GetGenerated())
+		s.account(e.GetProgram(), 0, now).applyOtherSettlement(e.GetTurn(), e.GetGenerated(), written)
 	}
 	for _, bound := range b.GetBindings() {
 		if age <= bindingTTL {
