Use no upstream whose entry can't be decoded, also not for streams

Cause: an entry that can't be decoded counted as a removal, after which an upstream takes streams of its former version for half of the drain time, and new requests for 2 s after an outage of the store. A malformed entry says nothing of what the upstream is now.

Result: TestStreamGoesOnAtUpstreamWhoseEntryNamesNoVersion fails before (upstream u offered).

--- a/watcher/leaving_test.go
+++ b/watcher/leaving_test.go
@@ -37,3 +37,18 @@
 		t.Errorf("upstreams that began to leave after a second (-want +got):\n%s", diff)
 	}
 }
+
+// The upstream started again, and the entry of its new incarnation can't be decoded.
+func TestStreamGoesOnAtUpstreamWhoseEntryNamesNoVersion(t *testing.T) {
+	runWatcher(t, direct, func(t *testing.T, f *fixture) {
+		f.put(t, upstreams, "u", ready)
+		time.Sleep(time.Second)
+		f.put(t, upstreams, "u", "7")
+		time.Sleep(time.Second)
+		list, _ := f.watcher.List()
+		got := list.LeavingOfBuild(descriptor.Build{Service: "s"}, time.Now().Add(-2*time.Second))
+		if diff := cmp.Diff([]descriptor.Upstream(nil), got); diff != "" {
+			t.Errorf("upstreams that may go on with a stream (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/watcher/list.go
+++ b/watcher/list.go
@@ -90,6 +90,19 @@
 	return l.withEntry(id, old)
 }
 
+// WithMalformed returns the list with an upstream whose record at the given offset of the
+// log can't be decoded. It is not used in any way until it publishes another record: nobody
+// knows what it is now.
+func (l List) WithMalformed(id string, offset int64) List {
+	old, known := l.entries[id]
+	if !known || offset <= old.offset {
+		return l
+	}
+	old.offset, old.removed = offset, true
+	old.usableUntil, old.leavingSince = time.Time{}, time.Time{}
+	return l.withEntry(id, old)
+}
+
 // WithOnly returns the list with all upstreams that are not in present marked as
 // removed at the given offset of the log, which was read at now. The marked upstreams stay
 // usable until usableUntil.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -232,7 +232,7 @@
 	if err != nil {
 		w.config.Counters.Dropped.Add("upstream", 1)
 		w.config.Logger.Warn().Err(err).Str("upstream", c.key).Int64("offset", c.offset).Msg("malformed upstream record, removing the upstream")
-		w.list = w.list.WithRemoved(c.key, c.offset, c.usableUntil, c.readAt)
+		w.list = w.list.WithMalformed(c.key, c.offset)
 		return
 	}
 	w.list = w.list.WithUpstream(u, c.offset, c.readAt)
