Bound the requests for the rest of a stream that bring no event

What callers and operators would see: an upstream that breaks a resumable stream off before its next event, each time, is asked again without a pause until the caller's time is over.

Cause: resumption within a response had neither a limit nor a pause; the dispatcher of the trial path has both.

Change: three requests without a further event end the attempts, with 20 ms between them.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -67,6 +67,9 @@
 	// build is the software that began the stream. Only upstreams that run it may go on
 	// with the stream. It is zero until the stream has begun, and for other requests.
 	build descriptor.Build
+	// resumeRetries counts the requests for the rest of an interrupted stream that an
+	// upstream may have run, since the last event.
+	resumeRetries int
 	// generated counts the tokens of the events that were sent to the caller,
 	// including events whose write failed.
 	generated int64
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -11,6 +11,7 @@
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
+	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/refuser"
 )
 
@@ -59,11 +60,15 @@
 	e.sink.Head(response.Status, response.Header, -1)
 	last := e.request.LastEvent
 	for {
+		before := last
 		err := e.relayEvents(t, response, &last)
 		e.closeResponse(ctx, response, err)
 		if err == nil {
 			return e.finishStream(ctx, t)
 		}
+		if last != before {
+			e.resumeRetries = 0
+		}
 		response = e.resume(ctx, t, last, err)
 		if response == nil {
 			e.settleInBackground(t)
@@ -183,15 +188,30 @@
 	return nil
 }
 
+const (
+	// maxResumeRetries is the maximum number of requests for the rest of a stream that
+	// brought no further event.
+	maxResumeRetries = 3
+	// resumePause is the time before the rest of a stream is requested again.
+	resumePause = 20 * time.Millisecond
+)
+
 // resume requests the events of an interrupted stream after the event with the id
 // last. It sends the request to the same upstream, or to another upstream that runs the
 // same build if the same upstream is not usable any more or no connection to it can be
 // made. It returns nil if the stream can't be resumed.
 func (e *exchange) resume(ctx context.Context, t *turn, last string, cause error) *exchanger.Response {
 	var incomplete *exchanger.IncompleteError
-	if !t.kind.Resumable || ctx.Err() != nil || !errors.As(cause, &incomplete) {
+	if !t.kind.Resumable || e.resumeRetries >= maxResumeRetries || !errors.As(cause, &incomplete) {
+		return nil
+	}
+	if e.resumeRetries > 0 {
+		waiter.Sleep(ctx, resumePause)
+	}
+	if ctx.Err() != nil {
 		return nil
 	}
+	e.resumeRetries++
 	e.config.Logger.Info().Err(cause).Str("id", e.request.ID).Str("upstream", e.upstream.ID).
 		Str("version", e.upstream.Version).Str("after", last).Msg("stream interrupted, resuming")
 	e.config.Counters.Retried(counter.RetryResume)
