--- a/forwarder/resume_test.go
+++ b/forwarder/resume_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/citronpier/citronpier/descriptor"
 )
 
@@ -17,6 +19,50 @@
 	return u
 }
 
+// The upstream u0 of version v1 begins the stream and breaks it off after its second event.
+func TestInterruptedStreamCutThoughItsVersionServes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// first and second are the scripts of u0 and u1, which both run v1.
+		first, second []script
+		arrived       []string
+	}{
+		{"the upstream does not run the rest", []script{streamEvents(2), answerNotRun}, []script{streamEvents(0)}, []string{"u0:", "u0:2", "u1:2"}},
+		{"the rest is lost before its header", []script{streamEvents(2), closeConnection}, []script{streamEvents(0)}, []string{"u0:", "u0:2", "u1:2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			near := f.upstreamOf(t, "u0", "s", "v1", c.first...)
+			far := f.upstreamOf(t, "u1", "s", "v1", c.second...)
+			far.DataCentre = "far"
+			f.start(t, descriptor.Stream{Resumable: true}, 1, near, far)
+			outcome, body := f.serve(t, request())
+			arrived, _ := f.received()
+			if diff := cmp.Diff([]any{"200", threeEvents, c.arrived}, []any{outcome, body, arrived}); diff != "" {
+				t.Errorf("outcome, body, arrivals (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// u0 is full when the stream begins at u1, and has room when u1 crashes.
+func TestInterruptedStreamCutThoughFullUpstreamHasRoomAgain(t *testing.T) {
+	f := newFixture()
+	crash := func(conn net.Conn, r *http.Request) bool {
+		f.crash("u1")
+		return streamEvents(2)(conn, r)
+	}
+	near := f.upstreamOf(t, "u0", "s", "v1", answerNotRun, streamEvents(0))
+	far := f.upstreamOf(t, "u1", "s", "v1", crash)
+	far.DataCentre = "far"
+	f.start(t, descriptor.Stream{Resumable: true}, 1, near, far)
+	outcome, body := f.serve(t, request())
+	arrived, _ := f.received()
+	if diff := cmp.Diff([]any{"200", threeEvents, []string{"u0:", "u1:", "u0:2"}}, []any{outcome, body, arrived}); diff != "" {
+		t.Errorf("outcome, body, arrivals (-want +got):\n%s", diff)
+	}
+}
+
 // The only upstream breaks the rest off before its first event, each time.
 func TestInterruptedStreamAskedForWithoutEnd(t *testing.T) {
 	// The users' rule BUDGET allows a request that crashes upstreams 3 retries.
