Resume a stream at the service that began it while its route leads there

What callers would see: on a route that is split between services, a stream that could go on was refused.

Cause: the service was drawn again for each attempt, and a stream whose build belongs to another service than the one drawn was refused.

Change: the service of the build is taken while the route's split still has it.

--- a/descriptor/configuration.go
+++ b/descriptor/configuration.go
@@ -1,6 +1,7 @@
 package descriptor
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -106,6 +107,11 @@
 	return best, found
 }
 
+// LeadsTo reports whether a part of the route's requests goes to a service.
+func (r Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service chooses the service for a request in proportion to the weights of the
 // shares. The draw is a number from 0, inclusive, to 1, exclusive. The draws of
 // requests are uniformly distributed. Service returns the empty string if no share
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -31,13 +31,15 @@
 }
 
 // keepBuild restricts a request that resumes a stream to the upstreams of the build that
-// began the stream. It returns the outcome of the request if no upstream of its service
-// can run that build.
+// began the stream. It returns the outcome of the request if the route does not lead to
+// the service of that build any more.
 func (e *exchange) keepBuild(b *messenger.Build) Outcome {
 	e.build = descriptor.Build{Service: b.GetService(), Version: b.GetVersion()}
-	if e.build.Service != e.service.Name {
-		return refused(refuser.New(refuser.Resume, "service %q began the stream, and the route leads to %q", e.build.Service, e.service.Name))
+	service, ok := e.config.Configuration().Services[e.build.Service]
+	if !ok || !e.route.LeadsTo(e.build.Service) {
+		return refused(refuser.New(refuser.Resume, "service %q began the stream, and the route does not lead there", e.build.Service))
 	}
+	e.service = service
 	e.config.Counters.Reached(counter.StageResumed)
 	return nil
 }
--- a/forwarder/resume_test.go
+++ b/forwarder/resume_test.go
@@ -8,8 +8,13 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/exchanger"
+	"github.com/citronpier/citronpier/forwarder"
+	"github.com/citronpier/citronpier/watcher"
 )
 
 // upstreamOf starts an upstream of a service and a version.
@@ -80,3 +85,65 @@
 		t.Errorf("%s after %d requests to the upstream in 1 s, at most %d wanted", outcome, len(arrived), 1+mostRetries)
 	}
 }
+
+// Each service has an upstream of the version that began the stream.
+func TestResumedStreamOfSplitRouteRefused(t *testing.T) {
+	const tries = 40
+	one, both := []descriptor.Share{{Service: "s", Weight: 1}}, []descriptor.Share{{Service: "s", Weight: 1}, {Service: "x", Weight: 1}}
+	for _, c := range []struct {
+		name string
+		// split is the route's split when the stream begins. Later it is both.
+		split    []descriptor.Share
+		programs bool
+	}{
+		{"requests without a program", both, false},
+		{"the route is split after the stream has begun", one, true},
+		{"programs on a route that stays split", both, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			f.list = f.list.WithUpstream(f.upstreamOf(t, "s0", "s", "v1", streamEvents(0)), 0, time.Now()).
+				WithUpstream(f.upstreamOf(t, "x0", "x", "v1", streamEvents(0)), 1, time.Now())
+			split := c.split
+			f.forwarder = forwarder.New(forwarder.Config{
+				Shards: 4,
+				Configuration: func() descriptor.Configuration {
+					return descriptor.Configuration{
+						Version: 1,
+						Routes: []descriptor.Route{{
+							Name: "r", Host: "h", Prefix: "/a/", Kind: descriptor.Stream{Resumable: true},
+							Timeout: 5 * time.Second, Attempts: 1, Split: split,
+						}},
+						Services: map[string]descriptor.Service{"s": {Name: "s"}, "x": {Name: "x"}},
+					}
+				},
+				Upstreams:   func() (watcher.List, bool) { return f.listed(), true },
+				RemoteLoads: func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
+				Homes:       f.home,
+				Exchanger:   exchanger.New(codec{}, exchanger.NewDial(exchanger.UnackedUpstream)),
+				Tracker:     &forwarder.UpstreamTracker{},
+				Counters:    &counter.Set{},
+				Logger:      zerolog.Nop(),
+				Background:  t.Context(),
+			})
+			got := make(map[string]int)
+			for i := range tries {
+				first, again := request(), request()
+				first.ID, again.ID = fmt.Sprint("first", i), fmt.Sprint("again", i)
+				if c.programs {
+					first.Program, again.Program = fmt.Sprint("program", i), fmt.Sprint("program", i)
+				}
+				split = c.split
+				f.serve(t, first)
+				f.home.build = (<-f.home.bound).GetBuild()
+				again.LastEvent, again.Resumes = "2", first.ID
+				split = both
+				outcome, _ := f.serve(t, again)
+				got[outcome]++
+			}
+			if diff := cmp.Diff(map[string]int{"200": tries}, got); diff != "" {
+				t.Errorf("outcomes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
