Refuse to resume a stream on a route whose streams can't be resumed

What callers would see: a stream joined from two versions on a route that is not resumable, or is not any more after a change of the configuration. Found by the review.

Cause: the last event's id was passed on to any upstream on such routes; only resumable routes were looked at.

Result: TestStreamOfRouteThatIsNotResumableJoinedFromTwoVersions fails before (u0:2, an upstream of another version).

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -12,14 +12,14 @@
 
 // resumesStream reports whether the caller wants to resume a stream that an earlier
 // attempt began.
-func (e *exchange) resumesStream(kind descriptor.Stream) bool {
-	return kind.Resumable && e.request.LastEvent != ""
-}
+func (e *exchange) resumesStream() bool { return e.request.LastEvent != "" }
 
 // unresumable returns the outcome of a request that resumes a stream, if no host can serve
 // it, and nil otherwise.
 func (e *exchange) unresumable(kind descriptor.Stream) Outcome {
 	switch {
+	case !kind.Resumable:
+		return refused(refuser.New(refuser.Resume, "streams of route %s can't be resumed", e.route.Name))
 	case e.request.Resumes == "":
 		return refused(refuser.New(refuser.Resume, "the attempt that began the stream is not named"))
 	case kind.Retain:
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -60,7 +60,7 @@
 // the turns that it continues to the request's body. It returns the outcome of the
 // request if the turn must not run, and nil otherwise.
 func (e *exchange) beginTurn(ctx context.Context, t *turn) Outcome {
-	resumes := e.resumesStream(t.kind)
+	resumes := e.resumesStream()
 	if e.request.Program == "" && !t.kind.Retain && !resumes {
 		return nil
 	}
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -163,3 +163,17 @@
 		t.Errorf("outcome, records (-want +got):\n%s", diff)
 	}
 }
+
+// A caller resumes a stream on a route that is not resumable, or is not any more.
+func TestStreamOfRouteThatIsNotResumableJoinedFromTwoVersions(t *testing.T) {
+	f := newFixture()
+	f.home.build = &messenger.Build{Service: "s", Version: "v1"}
+	f.start(t, descriptor.Stream{}, 1, f.upstreamOf(t, "u0", "s", "v2", streamEvents(0)))
+	r := request()
+	r.LastEvent, r.Resumes = "2", "first"
+	f.serve(t, r)
+	arrived, _ := f.received()
+	if diff := cmp.Diff([]string(nil), arrived); diff != "" {
+		t.Errorf("arrivals (-want +got):\n%s", diff)
+	}
+}
