Queue a turn once, however often its end is repeated

What callers saw: nothing yet; this is needed where entry hosts repeat End while a partition takes no appends.

Cause: each End of a turn that is not in the store yet queued the turn's text again. Repeats fill the queue of the shard (1024 changes), so that other turns of the shard fail, and write the text as many times as they fit into one append.

Evidence, without the change: after 1100 repeats of one End, "1024 changes of shard turns/0 wait for the store: the queue is full" for another turn of the shard and for the repeated one.

Change: a shard knows the turns that wait for their append, and a repeated End waits for the change that is queued. It queues another one only if it brings the chain of the previous turn and the waiting one has none.

Result: TestQueueFilledByRepeatedEndOfOneTurn fails without the change with the output above and passes with it. go test ./forwarder ./keeper ./navigator ./challenger passes.

--- a/keeper/end_test.go
+++ b/keeper/end_test.go
@@ -284,3 +284,34 @@
 		}
 	})
 }
+
+func TestQueueFilledByRepeatedEndOfOneTurn(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		a := f.startHome(ctx, "a")
+		runTurn(ctx, t, a, "1", "")
+		f.store.SetFault(func(c standin.Call) standin.Effect {
+			if c.Append {
+				return standin.Refuse
+			}
+			return standin.Done
+		})
+		repeated := endRequest("2", "1")
+		repeated.Patient = true
+		for range 1100 {
+			limited, cancel := context.WithTimeout(ctx, time.Millisecond)
+			if reply, err := a.End(limited, repeated, time.Now()); err == nil {
+				t.Fatalf("end while the store takes no appends: %v", reply)
+			}
+			cancel()
+		}
+		time.AfterFunc(time.Second, func() { f.store.SetFault(nil) })
+		got := []string{
+			outcomeOf(a.End(ctx, endRequest("3", "1"), time.Now())),
+			outcomeOf(a.End(ctx, repeated, time.Now())),
+			chainAt(ctx, f.startHome(ctx, "later"), "2"),
+		}
+		if diff := cmp.Diff([]string{"recorded", "recorded", "RESERVED in-1;out-1\nin-2;out-2\n"}, got); diff != "" {
+			t.Errorf("end of another turn and of the repeated one, its chain (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -54,6 +54,9 @@
 	appending []*change
 	// rewrites holds the changes under way that write records again.
 	rewrites map[rewriteKey]*change
+	// pendingTurns holds the changes that record turns and whose append has not ended, by
+	// turn id.
+	pendingTurns map[string]*change
 	// deferred holds changes that are not urgent. They are written with the next
 	// append, or by the next Tick if that comes first.
 	deferred []*change
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -113,12 +113,12 @@
 // shard already has that chain. While the partition is unavailable, appendTurn
 // returns an *UnavailableError, or waits if the request has Patient set.
 func (s *shard) appendTurn(ctx context.Context, r *messenger.EndRequest, previousChain []byte) error {
-	c := newChange(r.GetProgram(), turnChange{turn: turnRecord(r), previousChain: previousChain})
 	s.mu.Lock()
 	known := s.tree.Has(r.GetTurn())
+	var c *change
 	var err error
 	if !known {
-		err = s.enqueue(c)
+		c, err = s.enqueueTurn(r, previousChain)
 	}
 	s.mu.Unlock()
 	if known || err != nil {
@@ -138,6 +138,38 @@
 	}
 }
 
+// enqueueTurn queues a turn and returns its change. If the same turn is already waiting for
+// its append, with the chain of the previous turn where one is given, enqueueTurn returns
+// the change that waits. The caller holds mu.
+func (s *shard) enqueueTurn(r *messenger.EndRequest, previousChain []byte) (*change, error) {
+	if c, ok := s.pendingTurns[r.GetTurn()]; ok {
+		if k := c.kind.(turnChange); previousChain == nil || k.previousChain != nil {
+			return c, nil
+		}
+	}
+	c := newChange(r.GetProgram(), turnChange{turn: turnRecord(r), previousChain: previousChain})
+	if err := s.enqueue(c); err != nil {
+		return nil, err
+	}
+	if s.pendingTurns == nil {
+		s.pendingTurns = make(map[string]*change)
+	}
+	s.pendingTurns[r.GetTurn()] = c
+	return c, nil
+}
+
+// forgetPendingTurns removes the turns of changes whose append has ended.
+func (s *shard) forgetPendingTurns(changes []*change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range changes {
+		k, ok := c.kind.(turnChange)
+		if ok && s.pendingTurns[k.turn.GetId()] == c {
+			delete(s.pendingTurns, k.turn.GetId())
+		}
+	}
+}
+
 // keepOtherChain caches a chain that was found in another shard, so that the home
 // need not search for the chain again when the turn that continues the chain ends.
 func (s *shard) keepOtherChain(turn string, chain []byte) {
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -90,6 +90,7 @@
 		if err != nil {
 			s.logger.Error().Err(err).Int("changes", len(taken)).Msg("append abandoned")
 		}
+		s.forgetPendingTurns(taken)
 		for _, c := range taken {
 			c.complete(err)
 		}
