Try fallback shards again while a turn's own shard waits

Cause: once no fallback shard had taken the turn, the attempt that waits for the partition of the turn's own shard had no time limit.

Change: this attempt ends after 0.5 s, and the fallback shards are tried again. The turn stays queued at its home, which answers the next attempt at once if it has recorded the turn by then. The time of the attempt counts as pause, so that a caller learns of a record no later than the attempt's length plus the fallback shards' answers.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -145,6 +145,8 @@
 	// are answered as unavailable all the same: a host has become home of the shard and
 	// has not read it yet.
 	unread int
+	// waits is true if requests of that kind wait until their context ends.
+	waits bool
 	// chainless is true if the shards lack the chain of the previous turn.
 	chainless bool
 }
@@ -162,7 +164,11 @@
 	return &messenger.BindReply{}, nil
 }
 
-func (h *fakeHome) End(_ context.Context, r *messenger.EndRequest) (*messenger.EndReply, error) {
+func (h *fakeHome) End(ctx context.Context, r *messenger.EndRequest) (*messenger.EndReply, error) {
+	if h.waits && r.GetPatient() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ended = append(h.ended, proto.CloneOf(r))
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -33,6 +33,9 @@
 	// the text of the turn and of the earlier turns several times.
 	minRecordPause = 50 * time.Millisecond
 	maxRecordPause = 500 * time.Millisecond
+	// patientTimeout is the time limit of an attempt that waits for the partition of the
+	// turn's own shard. Fallback shards may be available again by then.
+	patientTimeout = 500 * time.Millisecond
 )
 
 // turn is the part of a streamed request's state that concerns the program: the
@@ -243,9 +246,9 @@
 // recordAnywhere records a turn whose own shard has not recorded it: the shard's partition
 // is unavailable, or the attempt has failed with err. home is the request to that shard. If
 // no fallback shard takes the record, home is sent again, and the turn's own shard then
-// waits for its partition. If that fails too, all is tried again until ctx ends: the
-// shard's home may be moving. A turn that is recorded twice is one turn. The error is a
-// *NotRecordedError.
+// waits for its partition for up to patientTimeout. If that fails too, all is tried again
+// until ctx ends: the shard's home may be moving, and a fallback shard may come back. A turn
+// that is recorded twice is one turn. The error is a *NotRecordedError.
 func (e *exchange) recordAnywhere(ctx context.Context, t *turn, home *messenger.EndRequest, err error) error {
 	patient := proto.CloneOf(home)
 	patient.Patient = true
@@ -253,13 +256,14 @@
 		if e.recordInFallbackShard(ctx, t, home) {
 			return nil
 		}
+		began := time.Now()
 		var recorded bool
-		recorded, err = e.recordInOwnShard(ctx, t, patient)
+		recorded, err = e.waitForOwnShard(ctx, t, patient)
 		if recorded {
 			return nil
 		}
 		e.config.Logger.Info().Err(err).Str("id", home.GetTurn()).Int32("own", home.GetShard()).Msg("no shard has recorded the turn, trying again")
-		waiter.Sleep(ctx, pause)
+		waiter.Sleep(ctx, pause-time.Since(began))
 	}
 	if err == nil {
 		err = ctx.Err()
@@ -267,6 +271,13 @@
 	return &NotRecordedError{Cause: err}
 }
 
+// waitForOwnShard does what recordInOwnShard does, within patientTimeout.
+func (e *exchange) waitForOwnShard(ctx context.Context, t *turn, patient *messenger.EndRequest) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, patientTimeout)
+	defer cancel()
+	return e.recordInOwnShard(ctx, t, patient)
+}
+
 // recordInFallbackShard records a turn in another shard than its own. Later turns find
 // the record there because a turn is looked up in all shards. The fallback shards are
 // tried one after the other. It returns false if none of them took the record.
--- a/forwarder/turn_test.go
+++ b/forwarder/turn_test.go
@@ -233,6 +233,26 @@
 	}
 }
 
+// The partition of the turn's own shard stays unavailable, and those of the others come back.
+func TestAnsweredTurnCutThoughAFallbackShardIsBack(t *testing.T) {
+	f := newFixture()
+	own := int32(keeper.Shard("p", 4))
+	f.home.unavailable = map[int32]bool{0: true, 1: true, 2: true, 3: true}
+	f.home.waits = true
+	f.start(t, retained(), 1, f.startUpstream(t, "u", streamEvents(0)))
+	time.AfterFunc(300*time.Millisecond, func() {
+		f.home.mu.Lock()
+		defer f.home.mu.Unlock()
+		f.home.unavailable = map[int32]bool{own: true}
+	})
+	r := turnRequest()
+	r.Deadline = time.Now().Add(2 * time.Second)
+	outcome, _ := f.serve(t, r)
+	if diff := cmp.Diff([]any{"200", []int32{(own + 3) % 4}}, []any{outcome, f.home.records()}); diff != "" {
+		t.Errorf("outcome, records (-want +got):\n%s", diff)
+	}
+}
+
 // A turn that its home refuses reaches no upstream.
 func TestRefusedTurn(t *testing.T) {
 	for verdict, want := range map[messenger.BeginReply_Verdict]string{
