Check that a turn whose home moves is recorded when its answer ends

Cause: the subtest "recorded at the third try" asked for the status 200 only, which the fault that it guards against gives, too.

Change: both subtests ask which shards have recorded the turn when the response ends: the own one, once, or none. The first one also asks that the third waiting call was the last and brought the whole turn. The second is as strict as before, and more.

--- a/forwarder/turn_test.go
+++ b/forwarder/turn_test.go
@@ -140,13 +140,18 @@
 // response ends only once some shard has recorded the turn, and is cut if none does in
 // time.
 func TestTurnWhoseHomeMovesInAnOutage(t *testing.T) {
+	own := int32(keeper.Shard("p", 4))
 	for _, c := range []struct {
 		name   string
 		unread int
 		want   string
+		// records has the shards that have recorded the turn when the response ends.
+		records []int32
+		// waited is the number of requests that wait for the partition, if it is known.
+		waited int
 	}{
-		{"recorded at the third try", 2, "200"},
-		{"not recorded in time", 1 << 20, "cut timeout"},
+		{"recorded at the third try", 2, "200", []int32{own}, 3},
+		{"not recorded in time", 1 << 20, "cut timeout", nil, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture()
@@ -156,13 +161,33 @@
 			r := turnRequest()
 			r.Deadline = time.Now().Add(time.Second)
 			outcome, _ := f.serve(t, r)
-			if diff := cmp.Diff(c.want, outcome); diff != "" {
-				t.Errorf("outcome (-want +got):\n%s", diff)
+			if diff := cmp.Diff([]any{c.want, c.records}, []any{outcome, f.home.records()}); diff != "" {
+				t.Errorf("outcome, records (-want +got):\n%s", diff)
+			}
+			if c.waited > 0 {
+				checkRecordedTry(t, f.home.ended, c.waited)
 			}
 		})
 	}
 }
 
+// checkRecordedTry checks that the last call of End is the one that waits for the partition of
+// the turn's own shard for the given time, and that it has the whole turn.
+func checkRecordedTry(t *testing.T, ended []*messenger.EndRequest, waited int) {
+	t.Helper()
+	patient := 0
+	for _, r := range ended {
+		if r.GetPatient() {
+			patient++
+		}
+	}
+	last := ended[len(ended)-1]
+	got := []any{patient, last.GetPatient(), last.GetAside(), last.GetTurn(), string(last.GetInput()), string(last.GetOutput())}
+	if diff := cmp.Diff([]any{waited, true, false, "id", "new", "d1\nd2\nd3\n"}, got); diff != "" {
+		t.Errorf("waiting calls; last call: patient, aside, turn, input, output (-want +got):\n%s", diff)
+	}
+}
+
 // The response of a turn that can't be recorded must not look complete to the caller:
 // the outcome is Cut, once the caller's time is over.
 func TestTurnWithoutRecordIsCut(t *testing.T) {
