Read quiet shards at their home, so that their records are rewritten

Callers saw 404 for turns that were still kept, after the host that was home of their shard had gone and nobody had used the shard for the store's retention.

Cause: Tick worked only on shards in memory, and only a request opens a shard. So nobody wrote the records of a quiet shard again. The same for a host that is home of a shard again: it did not know what another home had recorded in between.

Change: where the store drops records, Tick goes round all shards at an even pace, one round in an eighth of the retention, and starts to read those that this host is home of and has not read since. Cost: one call of Home for each shard and round, one read of each shard for each change of home, and its turns in memory.

Measured: 300 shards at one home, 300 s retention: 8 calls of the store in a tick at most, 300 in all; home of a third: 3 and 100; home of none, or no retention: none. Not measured on a deployment.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -70,6 +70,8 @@
 	mu sync.Mutex
 	// shards holds the shards in memory by their number. mu guards it.
 	shards map[int]*shard
+	// visits decides when quiet shards are visited. mu guards it.
+	visits visits
 }
 
 // New returns a Keeper whose background appends run until ctx ends.
@@ -324,9 +326,14 @@
 
 // Tick does the periodic work on all shards in memory: it drops expired state,
 // writes deferred settlements, and rewrites records that the store would soon drop.
+// If the store drops records, Tick also reads the shards that this host is home of,
+// a few at a time.
 // For a shard whose home is now another host, it releases the allowances, and drops
 // the shard once the shard is idle.
 func (k *Keeper) Tick(now time.Time) {
+	if k.config.Retention > 0 {
+		k.visitShards(now)
+	}
 	for id, s := range k.openShards() {
 		s.prune(now)
 		s.flushDeferred()
@@ -336,6 +343,7 @@
 			}
 			continue
 		}
+		s.noteOtherHome()
 		s.releaseAllowances()
 		if s.isIdle(now) {
 			k.mu.Lock()
--- a/keeper/retention_test.go
+++ b/keeper/retention_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
@@ -249,3 +250,105 @@
 		}
 	})
 }
+
+// A turn that is still kept is lost with its only record, because the present home has no
+// reason to open the shard.
+func TestRecordsOfAQuietShardAreRewrittenByItsNextHome(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		r := endRequest("1", "")
+		r.Retention = time.Hour.Milliseconds()
+		dying, kill := context.WithCancel(ctx)
+		if diff := cmp.Diff("recorded", outcomeOf(f.startRewritingHome(dying, "a").End(ctx, r, time.Now()))); diff != "" {
+			t.Fatalf("end (-want +got):\n%s", diff)
+		}
+		kill()
+		old := f.store.Len(partitions[0])
+		b := f.startRewritingHome(ctx, "b")
+		for began := time.Now(); time.Since(began) < storeRetention; time.Sleep(time.Second) {
+			b.Tick(time.Now())
+		}
+		synctest.Wait()
+		f.store.Trim(partitions[0], old)
+		verdict := b.Begin(ctx, beginRequest("2", "1"), time.Now()).GetVerdict()
+		if diff := cmp.Diff(messenger.BeginReply_RESERVED, verdict); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A turn that is still kept is lost with its only record, because a host that is home of a
+// quiet shard again has not read what another home recorded in between.
+func TestRecordsOfAnInterimHomeAreRewritten(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		home := true
+		a := keeper.New(ctx, keeper.Config{
+			Incarnation: "a", Store: f.store.Host("a"), Partitions: partitions, RecordBytes: 1 << 10, Retention: storeRetention,
+			Home:           func(int, time.Time) bool { return home },
+			StoreReachable: func(time.Time) bool { return true },
+			Counters:       &counter.Set{}, Logger: zerolog.Nop(),
+		})
+		if v := verdictOf(ctx, a, "x", 1); v != messenger.BeginReply_RESERVED {
+			t.Fatalf("begin: %v", v)
+		}
+		home = false
+		a.Tick(time.Now())
+		synctest.Wait()
+		r := endRequest("1", "")
+		r.Retention = time.Hour.Milliseconds()
+		if diff := cmp.Diff("recorded", outcomeOf(f.startRewritingHome(ctx, "b").End(ctx, r, time.Now()))); diff != "" {
+			t.Fatalf("end (-want +got):\n%s", diff)
+		}
+		synctest.Wait()
+		home = true
+		written, old := time.Now(), f.store.Len(partitions[0])
+		tickUntil(a, written.Add(storeRetention))
+		f.store.Trim(partitions[0], old)
+		verdict := f.startRewritingHome(ctx, "c").Begin(ctx, beginRequest("2", "1"), time.Now()).GetVerdict()
+		if diff := cmp.Diff(messenger.BeginReply_RESERVED, verdict); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// The store is flooded with reads, because a home reads all its shards at once or again
+// and again.
+func TestQuietShardsAreReadOnceAndSpreadInTime(t *testing.T) {
+	const shards = 300
+	all := make([]connector.Partition, shards)
+	for i := range all {
+		all[i] = connector.Partition{Topic: "turns", Part: i}
+	}
+	for _, c := range []struct {
+		name      string
+		retention time.Duration
+		home      func(shard int, now time.Time) bool
+		// perTick and total are the most calls of the store in one tick and in all.
+		perTick, total int
+	}{
+		{"home of all", storeRetention, func(int, time.Time) bool { return true }, 8, shards},
+		{"home of a third", storeRetention, func(shard int, _ time.Time) bool { return shard%3 == 0 }, 3, shards / 3},
+		{"home of none", storeRetention, func(int, time.Time) bool { return false }, 0, 0},
+		{"store keeps records forever", 0, func(int, time.Time) bool { return true }, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+				k := keeper.New(ctx, keeper.Config{
+					Incarnation: "a", Store: f.store.Host("a"), Partitions: all, RecordBytes: 1 << 10, Retention: c.retention,
+					Home: c.home, StoreReachable: func(time.Time) bool { return true },
+					Counters: &counter.Set{}, Logger: zerolog.Nop(),
+				})
+				perTick := 0
+				for range 2 * storeRetention / time.Second {
+					before := f.store.Calls()
+					k.Tick(time.Now())
+					synctest.Wait()
+					perTick = max(perTick, f.store.Calls()-before)
+					time.Sleep(time.Second)
+				}
+				if diff := cmp.Diff([]int{c.perTick, c.total}, []int{perTick, f.store.Calls()}); diff != "" {
+					t.Errorf("calls in a tick, in all (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -33,6 +33,9 @@
 	loaded bool
 	// loading is the read of the whole partition that is under way, or nil.
 	loading *loading
+	// hadOtherHome is set if another host was home of the shard after the partition was
+	// read to its end.
+	hadOtherHome bool
 	// end is the offset of the first record that is not applied yet.
 	end     int64
 	decoder decoder
@@ -87,11 +90,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	if s.loading == nil {
-		s.loading = &loading{done: make(chan struct{})}
-		go s.readAll(s.loading)
-	}
-	l := s.loading
+	l := s.startLoading()
 	s.mu.Unlock()
 	select {
 	case <-l.done:
@@ -101,6 +100,16 @@
 	}
 }
 
+// startLoading starts a read of the partition to its end, unless one is under way. The
+// caller holds mu.
+func (s *shard) startLoading() *loading {
+	if s.loading == nil {
+		s.loading = &loading{done: make(chan struct{})}
+		go s.readAll(s.loading)
+	}
+	return s.loading
+}
+
 // readAll reads the partition to its end.
 func (s *shard) readAll(l *loading) {
 	start := time.Now()
@@ -113,7 +122,7 @@
 	if err != nil {
 		return
 	}
-	s.loaded = true
+	s.loaded, s.hadOtherHome = true, false
 	s.logger.Info().Int64("end", s.end).Int("turns", s.tree.Len()).Int("programs", len(s.accounts)).
 		Dur("took_ms", time.Since(start)).Msg("shard loaded")
 }
