--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -230,38 +230,6 @@
 	return k.config.Search(ctx, turn, others)
 }
 
-// Find looks for a turn in the requested shards, including shards whose home is
-// another host. It looks in memory first and then reads each shard to its end.
-// Certain in the reply lists the shards that have been read and don't have the turn.
-func (k *Keeper) Find(ctx context.Context, r *messenger.FindRequest, now time.Time) *messenger.FindReply {
-	shards := make(map[int32]*shard)
-	for _, id := range r.GetShards() {
-		s, ok := k.openShard(int(id), true, now)
-		if !ok {
-			continue
-		}
-		if chain, ok := s.chain(r.GetTurn()); ok {
-			return &messenger.FindReply{Found: true, Chain: chain}
-		}
-		shards[id] = s
-	}
-	reply := &messenger.FindReply{}
-	for id, s := range shards {
-		if s.isUnavailable() {
-			continue
-		}
-		if err := s.refresh(ctx); err != nil {
-			k.config.Logger.Debug().Err(err).Int32("shard", id).Msg("shard not searched")
-			continue
-		}
-		if chain, ok := s.chain(r.GetTurn()); ok {
-			return &messenger.FindReply{Found: true, Chain: chain}
-		}
-		reply.Certain = append(reply.Certain, id)
-	}
-	return reply
-}
-
 // End settles a turn's budget reservation. If the request has Retain set, End also
 // records the turn and returns once the record is in the store. The reply has Away
 // set if the turn could not be recorded because the shard's partition is
