--- a/forwarder/resume_test.go
+++ b/forwarder/resume_test.go
@@ -147,3 +147,23 @@
 		})
 	}
 }
+
+// u0 restarts under its id as v2 while the list still names v1; u1 runs v1.
+func TestInterruptedStreamGoesOnAtRestartedUpstreamThatListIsBehindOf(t *testing.T) {
+	f := newFixture()
+	asV2 := func(conn net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		const piece = "id: 3\ndata: d3\n\n"
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(piece), piece)
+		return true
+	}
+	near := f.upstreamOf(t, "u0", "s", "v1", streamEvents(2), asV2)
+	far := f.upstreamOf(t, "u1", "s", "v1", streamEvents(0))
+	far.DataCentre = "far"
+	f.start(t, descriptor.Stream{Resumable: true}, 1, near, far)
+	outcome, body := f.serve(t, request())
+	arrived, _ := f.received()
+	if diff := cmp.Diff([]any{"200", threeEvents, []string{"u0:", "u1:2"}}, []any{outcome, body, arrived}); diff != "" {
+		t.Errorf("outcome, body, arrivals (-want +got):\n%s", diff)
+	}
+}
