--- /dev/null
+++ b/forwarder/interruption.go
@@ -0,0 +1,115 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/citronpier/citronpier/counter"
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/exchanger"
+	"github.com/citronpier/citronpier/internal/waiter"
+)
+
+const (
+	// maxResumeRetries is the maximum number of requests for the rest of a stream that an
+	// upstream may have run and that brought no further event.
+	maxResumeRetries = 3
+	// resumePause is the time before the rest of a stream is requested again.
+	resumePause = 20 * time.Millisecond
+)
+
+// resume requests the events of an interrupted stream after the event with the id last,
+// from one upstream of the stream's build after another until one answers. It returns nil
+// if the stream can't be resumed.
+func (e *exchange) resume(ctx context.Context, t *turn, last string, cause error) *exchanger.Response {
+	var incomplete *exchanger.IncompleteError
+	if !t.kind.Resumable || !errors.As(cause, &incomplete) {
+		return nil
+	}
+	e.config.Logger.Info().Err(cause).Str("id", e.request.ID).Str("upstream", e.upstream.ID).
+		Str("version", e.upstream.Version).Str("after", last).Msg("stream interrupted, resuming")
+	e.config.Counters.Retried(counter.RetryResume)
+	// An upstream that was full when the stream began may have room now.
+	e.tried = nil
+	for e.resumeRetries < maxResumeRetries {
+		if e.resumeRetries > 0 {
+			waiter.Sleep(ctx, resumePause)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		response, err := e.sendForRest(ctx, last)
+		if err == nil {
+			e.resumeRetries++
+			return e.restOf(ctx, response, last)
+		}
+		if !e.retryRest(err) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// retryRest logs and counts a failed request for the rest of a stream. It returns false if
+// no upstream is left.
+func (e *exchange) retryRest(err error) bool {
+	e.config.Logger.Info().Err(err).Str("id", e.request.ID).Str("upstream", e.upstream.ID).Msg("rest of stream not received")
+	var none *NoUpstreamError
+	if errors.As(err, &none) {
+		return false
+	}
+	e.tried = withTried(e.tried, e.upstream.ID)
+	var incomplete *exchanger.IncompleteError
+	if errors.As(err, &incomplete) {
+		e.resumeRetries++
+	}
+	return true
+}
+
+// restOf returns a response with the rest of a stream, or nil if its status is not 200.
+func (e *exchange) restOf(ctx context.Context, response *exchanger.Response, last string) *exchanger.Response {
+	if response.Status != http.StatusOK {
+		e.closeResponse(ctx, response, nil)
+		return nil
+	}
+	e.config.Logger.Info().Str("id", e.request.ID).Str("upstream", e.upstream.ID).Str("version", e.upstream.Version).
+		Str("after", last).Msg("stream resumed")
+	return response
+}
+
+// sendForRest sends the request for the events after the event with the id last: to the
+// same upstream if it is usable, and otherwise to another one.
+func (e *exchange) sendForRest(ctx context.Context, last string) (*exchanger.Response, error) {
+	now := time.Now()
+	if same, ok := e.sameUpstream(now); ok && !e.tried[same.ID] {
+		return e.sendTo(ctx, choice{Upstream: same}, last, now)
+	}
+	chosen, ok := e.pickUpstream(now)
+	if !ok {
+		return nil, &NoUpstreamError{Build: e.build}
+	}
+	return e.sendTo(ctx, chosen, last, now)
+}
+
+// NoUpstreamError reports that no upstream that was not tried yet runs a build.
+type NoUpstreamError struct{ Build descriptor.Build }
+
+// Error implements the error interface.
+func (e *NoUpstreamError) Error() string {
+	return fmt.Sprintf("no upstream of service %s runs version %s", e.Build.Service, e.Build.Version)
+}
+
+// sameUpstream returns the upstream that the request was sent to last, and false if it may
+// not be sent new requests or runs another build now.
+func (e *exchange) sameUpstream(now time.Time) (descriptor.Upstream, bool) {
+	list, _ := e.config.Upstreams()
+	for _, u := range list.UsableOfBuild(e.build, now) {
+		if u.ID == e.upstream.ID {
+			return u, true
+		}
+	}
+	return descriptor.Upstream{}, false
+}
