Fail a change that the store never takes, instead of repeating it

All turns of a shard were cut, for as long as its home lived, after one turn that was larger than a call of the store. The same for turns that were too large only together.

Cause: every refusal of an append was repeated without end; a batch was bounded after its last change had been added, whatever that change's size; the limit of a call was not read. The relayer took the refusal for a failure of the partition.

Change: platform.call_bytes of the settings file, optional, bounds an append. A batch of several changes stays under 1 MB and half of that limit by estimate. An append over the limit, or one that is refused with status 413, is split, and a change that is too large on its own fails with a TooLargeError. The relayer counts 413 as an answer.

Open: the large turn itself is cut after its upstream has run it, and its reservation counts at its most at a later home. A batch that is split over several appends would keep it.

--- a/connector/store.go
+++ b/connector/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -113,6 +115,13 @@
 	return fmt.Sprintf("store refused the request with status %d: %s", e.Status, e.Detail)
 }
 
+// IsTooLarge reports whether the store refused a request because of its size. It then
+// refuses the same request each time.
+func IsTooLarge(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Status == http.StatusRequestEntityTooLarge
+}
+
 // LostError reports that a request was sent and the store's reply was lost. The
 // request may have taken effect.
 type LostError struct{ Cause error }
--- a/entry.go
+++ b/entry.go
@@ -55,6 +55,9 @@
 	// RecordBytes is the size of the largest record that the store takes, in
 	// bytes.
 	RecordBytes int
+	// CallBytes is the size of the largest append that the store takes, in bytes; 0 if
+	// it is unknown.
+	CallBytes int
 	// Retention is how long the store keeps records; 0 means forever.
 	Retention time.Duration
 	// Codec is the platform's format of records and headers.
@@ -148,6 +151,7 @@
 		Store:          e.relayer,
 		Partitions:     c.Shards,
 		RecordBytes:    c.RecordBytes,
+		CallBytes:      c.CallBytes,
 		Retention:      c.Retention,
 		Home:           e.navigator.IsHome,
 		StoreReachable: e.relayer.Available,
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -28,6 +28,19 @@
 	return fmt.Sprintf("%d changes of shard %s wait for the store: the queue is full", e.Waiting, e.Shard)
 }
 
+// TooLargeError reports that a change was not recorded because the store takes no append
+// of its size.
+type TooLargeError struct {
+	Shard string
+	// Bytes is the size of the append.
+	Bytes int
+}
+
+// Error returns the shard and the size.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the store takes no append of %d bytes, which a change of shard %s needs", e.Bytes, e.Shard)
+}
+
 // Config holds the settings and dependencies of a Keeper.
 type Config struct {
 	// Incarnation identifies this run of the host's process. It changes with every
@@ -39,6 +52,9 @@
 	Partitions []connector.Partition
 	// RecordBytes is the size limit of one record in the store, in bytes.
 	RecordBytes int
+	// CallBytes is the size limit of one append to the store, in bytes; 0 if it is
+	// unknown.
+	CallBytes int
 	// Retention is how long the store keeps records; 0 means forever.
 	Retention time.Duration
 	// Home reports whether this host is home of a shard, according to its own view
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -14,9 +14,13 @@
 )
 
 const (
-	// targetBatchBytes is the size at which no further change is added to a batch.
-	// It is well under the store's limit for one call.
-	targetBatchBytes = 1 << 20
+	// maxBatchBytes bounds the estimated size of a batch of several changes.
+	maxBatchBytes = 1 << 20
+	// callsPerBatch is the share of the store's limit for one call that a batch of
+	// several changes may take by estimate: a half.
+	callsPerBatch = 2
+	// recordFramingBytes is room for what the store's protocol adds to a record.
+	recordFramingBytes = 16
 	// maxQueuedChanges bounds the changes of one shard that wait for an append.
 	maxQueuedChanges = 1024
 	// minAppendBackoff and maxAppendBackoff bound the wait between two tries of an
@@ -38,6 +42,15 @@
 	readBack bool
 }
 
+// size returns the size of the batch's records in a call of the store, in bytes.
+func (b *batch) size() int {
+	size := 0
+	for _, r := range b.records {
+		size += len(r) + recordFramingBytes
+	}
+	return size
+}
+
 // enqueue queues a change for the next append. It returns a *QueueFullError if the queue
 // is full. The caller holds mu.
 func (s *shard) enqueue(c *change) error {
@@ -86,25 +99,50 @@
 		taken := s.takeBatch()
 		s.appending = taken
 		s.mu.Unlock()
-		err := s.commitChanges(ctx, taken)
-		if err != nil {
-			s.logger.Error().Err(err).Int("changes", len(taken)).Msg("append abandoned")
-		}
-		s.forgetPendingTurns(taken)
-		for _, c := range taken {
-			c.complete(err)
-		}
+		s.commitOrFail(ctx, taken)
+	}
+}
+
+// commitOrFail appends changes and sets their results. If they are too large for one
+// append, it appends them in parts, so that only a change fails that is too large on its
+// own.
+func (s *shard) commitOrFail(ctx context.Context, changes []*change) {
+	err := s.commitChanges(ctx, changes)
+	var tooLarge *TooLargeError
+	if errors.As(err, &tooLarge) && len(changes) > 1 {
+		half := len(changes) / 2
+		s.commitOrFail(ctx, changes[:half])
+		s.commitOrFail(ctx, changes[half:])
+		return
+	}
+	if err != nil {
+		s.logger.Error().Err(err).Int("changes", len(changes)).Msg("append abandoned")
+	}
+	s.forgetPendingTurns(changes)
+	for _, c := range changes {
+		c.complete(err)
 	}
 }
 
+// maxBatch returns the bound of the estimated size of a batch of several changes.
+func (s *shard) maxBatch() int {
+	if limit := s.keeper.config.CallBytes; limit > 0 {
+		return min(maxBatchBytes, limit/callsPerBatch)
+	}
+	return maxBatchBytes
+}
+
 // takeBatch queues the deferred changes and removes the changes of the next batch
 // from the queue. The caller holds mu.
 func (s *shard) takeBatch() []*change {
 	s.queue = append(s.queue, s.deferred...)
 	s.deferred = nil
 	size, n := 0, 0
-	for n < len(s.queue) && (n == 0 || size < targetBatchBytes) {
+	for n < len(s.queue) {
 		size += s.queue[n].estimatedBytes()
+		if n > 0 && size > s.maxBatch() {
+			break
+		}
 		n++
 	}
 	taken := s.queue[:n:n]
@@ -167,9 +205,13 @@
 }
 
 // appendBatch repeats one append until its outcome is known. done is true if the
-// batch is in the partition, and false if another append took its offset. The
-// caller holds ioLock.
+// batch is in the partition, and false if another append took its offset. The error is a
+// *TooLargeError if the store will never take the batch. The caller holds ioLock.
 func (s *shard) appendBatch(ctx context.Context, b *batch, offset int64) (done bool, err error) {
+	tooLarge := &TooLargeError{Shard: s.partition.String(), Bytes: b.size()}
+	if limit := s.keeper.config.CallBytes; limit > 0 && tooLarge.Bytes > limit {
+		return false, tooLarge
+	}
 	start := time.Now()
 	defer func() { s.keeper.config.Counters.Measured(counter.MeasureAppend, time.Since(start)) }()
 	retries := backoff.NewExponentialBackOff()
@@ -178,7 +220,7 @@
 	for ctx.Err() == nil {
 		_, err := s.keeper.config.Store.Append(ctx, s.partition, b.records, offset)
 		var mismatch *connector.EndMismatchError
-		if err == nil || errors.As(err, &mismatch) {
+		if err == nil || errors.As(err, &mismatch) || connector.IsTooLarge(err) {
 			s.recordAppendAnswer()
 		}
 		switch {
@@ -193,6 +235,8 @@
 				s.logger.Info().Int64("at", offset).Int64("end", mismatch.End).Bool("own", b.readBack).Msg("partition did not end at the expected offset")
 				return b.readBack, nil
 			}
+		case connector.IsTooLarge(err):
+			return false, tooLarge
 		default:
 			s.recordAppendFailure(time.Now())
 			s.keeper.config.Counters.Retries.Add("append", 1)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -184,11 +184,12 @@
 
 // isAnswer reports whether err means that the store answered the call. Besides
 // success, these are the answers that a partition ends at another offset than an
-// append expected, and that the records of a read have been trimmed.
+// append expected, that the records of a read have been trimmed, and that a call is too
+// large.
 func isAnswer(err error) bool {
 	var mismatch *connector.EndMismatchError
 	var trimmed *connector.TrimmedError
-	return err == nil || errors.As(err, &mismatch) || errors.As(err, &trimmed)
+	return err == nil || errors.As(err, &mismatch) || errors.As(err, &trimmed) || connector.IsTooLarge(err)
 }
 
 // callStore makes one call to the store. It calls the store directly if tryDirect
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,3 +167,32 @@
 		}
 	})
 }
+
+// tooLargeStore is a store for which each append is too large.
+type tooLargeStore struct{ connector.Store }
+
+func (tooLargeStore) Append(context.Context, connector.Partition, [][]byte, int64) (connector.Appended, error) {
+	return connector.Appended{}, &connector.RefusedError{Status: http.StatusRequestEntityTooLarge}
+}
+
+// A partition counts as unavailable because an append was too large, and the append goes on
+// to other hosts, whose answer does not tell that it was too large.
+func TestTooLargeAppendIsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &standin.Store{}
+		server := relayer.Server{Direct: tooLargeStore{store.Host("other")}}
+		r := relayer.New(relayer.Config{
+			Direct:   tooLargeStore{store.Host("self")},
+			Relays:   func() []relayer.Relay { return []relayer.Relay{{Address: "other", Ledger: ledger{Server: server}}} },
+			Counters: &counter.Set{}, Logger: zerolog.Nop(),
+		})
+		if _, err := r.Read(t.Context(), connector.Partition{Topic: "u"}, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+		_, err := r.Append(t.Context(), partition, [][]byte{[]byte("a")}, 0)
+		got := []bool{connector.IsTooLarge(err), r.Unavailable(partition, time.Now()), r.ReachesDirectly(time.Now())}
+		if diff := cmp.Diff([]bool{true, false, true}, got); diff != "" {
+			t.Errorf("too large, unavailable, reached, %v (-want +got):\n%s", err, diff)
+		}
+	})
+}
