--- a/keeper/encoder.go
+++ b/keeper/encoder.go
@@ -1,8 +1,6 @@
 package keeper
 
 import (
-	"fmt"
-
 	"github.com/klauspost/compress/s2"
 	"google.golang.org/protobuf/proto"
 
@@ -16,11 +14,12 @@
 	flagLast
 )
 
-// encode compresses a batch and splits it into records of at most limit bytes.
+// encode compresses a batch and splits it into records of at most limit bytes. The error
+// is an *EncodingError.
 func encode(batch *recorder.ShardBatch, limit int) ([][]byte, error) {
 	raw, err := proto.Marshal(batch)
 	if err != nil {
-		return nil, fmt.Errorf("encode batch: %w", err)
+		return nil, &EncodingError{Cause: err}
 	}
 	data := s2.Encode(nil, raw)
 	var records [][]byte
@@ -38,6 +37,16 @@
 	return records, nil
 }
 
+// EncodingError reports that a change can't be encoded, for example because an id in it is
+// not text in UTF-8.
+type EncodingError struct{ Cause error }
+
+// Error returns the cause's message.
+func (e *EncodingError) Error() string { return "encode batch: " + e.Cause.Error() }
+
+// Unwrap returns Cause, for errors.Is and errors.As.
+func (e *EncodingError) Unwrap() error { return e.Cause }
+
 // decoder assembles batches from consecutive records. It skips the records of a
 // batch whose first record the store has already dropped.
 type decoder struct {
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -53,8 +53,6 @@
 	otherChains map[string][]byte
 	// queue holds the changes that wait for an append.
 	queue []*change
-	// appending holds the changes of the append that is under way.
-	appending []*change
 	// rewrites holds the changes under way that write records again.
 	rewrites map[rewriteKey]*change
 	// pendingTurns holds the changes that record turns and whose append has not ended, by
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -99,11 +99,9 @@
 // and all turns before them: an append may wait longer than the turn's retention. The
 // caller holds mu.
 func (s *shard) keepPreviousOfQueued(now time.Time) {
-	for _, changes := range [][]*change{s.appending, s.queue} {
-		for _, c := range changes {
-			if k, ok := c.kind.(turnChange); ok {
-				s.tree.Keep(k.turn.GetPrevious(), now)
-			}
+	for _, c := range s.pendingTurns {
+		if k, ok := c.kind.(turnChange); ok {
+			s.tree.Keep(k.turn.GetPrevious(), now)
 		}
 	}
 }
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -90,26 +90,23 @@
 	ctx := s.keeper.ctx
 	for {
 		s.mu.Lock()
-		s.appending = nil
 		if len(s.queue) == 0 || ctx.Err() != nil {
 			s.writing = false
 			s.mu.Unlock()
 			return
 		}
 		taken := s.takeBatch()
-		s.appending = taken
 		s.mu.Unlock()
 		s.commitOrFail(ctx, taken)
 	}
 }
 
 // commitOrFail appends changes and sets their results. If they are too large for one
-// append, it appends them in parts, so that only a change fails that is too large on its
-// own.
+// append, or one of them can't be encoded, it appends them in parts, so that only a change
+// fails that the store can't take on its own.
 func (s *shard) commitOrFail(ctx context.Context, changes []*change) {
 	err := s.commitChanges(ctx, changes)
-	var tooLarge *TooLargeError
-	if errors.As(err, &tooLarge) && len(changes) > 1 {
+	if len(changes) > 1 && isUnappendable(err) {
 		half := len(changes) / 2
 		s.commitOrFail(ctx, changes[:half])
 		s.commitOrFail(ctx, changes[half:])
@@ -124,6 +121,13 @@
 	}
 }
 
+// isUnappendable reports whether an append failed because of what it contains.
+func isUnappendable(err error) bool {
+	var tooLarge *TooLargeError
+	var encoding *EncodingError
+	return errors.As(err, &tooLarge) || errors.As(err, &encoding)
+}
+
 // maxBatch returns the bound of the estimated size of a batch of several changes.
 func (s *shard) maxBatch() int {
 	if limit := s.keeper.config.CallBytes; limit > 0 {
@@ -172,7 +176,7 @@
 }
 
 // buildBatch builds the records of changes from the current state. The batch is to
-// be appended at the returned offset.
+// be appended at the returned offset. The error is an *EncodingError.
 func (s *shard) buildBatch(changes []*change) (b *batch, offset int64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -8,7 +8,7 @@
 
 // The reasons with which a reply can refuse a call.
 const (
-	Malformed  Reason = "malformed"   // the body is not valid JSON or lacks a field
+	Malformed  Reason = "malformed"   // the body is not valid JSON or lacks a field, or an id in the header is not text
 	Oversize   Reason = "oversize"    // the body is larger than the limit
 	Headers    Reason = "headers"     // the header is larger than the limit
 	Slow       Reason = "slow"        // the body did not arrive within the time limit
