Keep the version of a stream for three times its route's timeout

Callers that resumed a stream more than one minute after its beginning were refused with resume, though the home had recorded which version began it and upstreams ran that version.

Cause: bindingTTL was one minute, counted from the stream's beginning, whatever the route's timeout was.

Change: the request of Bind says how long the version is kept: three times the route's timeout, for the stream, the caller's wait and one stream that resumes it. The home keeps it for the longer of that and one minute, and records it, so that other homes do the same. Requests and records of an earlier release name no time and get one minute, as before.

TestVersionOfBegunStreamNotToldToHome now asks for the retention too.

Open: bindings are not written again, so that a home that reads the shard after the store's retention does not have them. A stream that is resumed again and again, each part nearly as long as the timeout, outlasts the factor.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -44,6 +44,11 @@
 	return nil
 }
 
+// bindingRetentionFactor is how long the build that began a stream is kept, in multiples of
+// the route's timeout: the stream and one that resumes it may each last that long, and so
+// may the caller's wait between them.
+const bindingRetentionFactor = 3
+
 // bindStream keeps the build of the upstream that begins the stream, and tells the home of
 // the program, so that the stream can be resumed through any host. It does not wait for
 // the home: a stream whose build the home does not know is not resumed.
@@ -56,9 +61,10 @@
 		return
 	}
 	r := &messenger.BindRequest{
-		Shard:   int32(keeper.Shard(e.programID(), e.config.Shards)),
-		Attempt: e.request.ID,
-		Build:   &messenger.Build{Service: e.build.Service, Version: e.build.Version},
+		Shard:     int32(keeper.Shard(e.programID(), e.config.Shards)),
+		Attempt:   e.request.ID,
+		Build:     &messenger.Build{Service: e.build.Service, Version: e.build.Version},
+		Retention: (bindingRetentionFactor * e.route.Timeout).Milliseconds(),
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(e.config.Background, settleTimeout)
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -113,6 +113,7 @@
 	f.serve(t, request())
 	want := &messenger.BindRequest{
 		Shard: int32(keeper.Shard("id", 4)), Attempt: "id", Build: &messenger.Build{Service: "s", Version: "v1"},
+		Retention: (15 * time.Second).Milliseconds(),
 	}
 	if diff := cmp.Diff(want, <-f.home.bound, protocmp.Transform()); diff != "" {
 		t.Errorf("bound (-want +got):\n%s", diff)
--- a/keeper/binding.go
+++ b/keeper/binding.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// bindingTTL is how long a binding is kept. It is longer than any caller waits for
-	// the end of a stream.
-	bindingTTL = time.Minute
+	// minBindingRetention is the shortest time that a binding is kept. Requests and records
+	// of an earlier release name no time.
+	minBindingRetention = time.Minute
 	// bindingDelay is how long a binding waits for other changes with which it can be
 	// appended. A binding that is lost with its home makes the stream unresumable.
 	bindingDelay = 20 * time.Millisecond
@@ -28,52 +28,60 @@
 // binding is the build that began a stream.
 type binding struct {
 	build   descriptor.Build
-	boundAt time.Time
+	expires time.Time
 }
 
 // add adds the binding of an attempt. It returns false if the attempt is bound already.
-func (b *bindings) add(attempt string, build descriptor.Build, boundAt time.Time) bool {
+func (b *bindings) add(attempt string, build descriptor.Build, expires time.Time) bool {
 	if _, ok := b.byAttempt[attempt]; ok {
 		return false
 	}
 	if b.byAttempt == nil {
 		b.byAttempt = make(map[string]binding)
 	}
-	b.byAttempt[attempt] = binding{build: build, boundAt: boundAt}
+	b.byAttempt[attempt] = binding{build: build, expires: expires}
 	return true
 }
 
-// prune drops the bindings that are older than bindingTTL.
+// prune drops the bindings that have expired.
 func (b *bindings) prune(now time.Time) {
 	for attempt, bound := range b.byAttempt {
-		if now.Sub(bound.boundAt) > bindingTTL {
+		if now.After(bound.expires) {
 			delete(b.byAttempt, attempt)
 		}
 	}
 }
 
+// bindingExpiry returns when a binding expires that was made at boundAt. retention is the
+// time that the request or the record names, in milliseconds.
+func bindingExpiry(boundAt time.Time, retention int64) time.Time {
+	return boundAt.Add(max(minBindingRetention, time.Duration(retention)*time.Millisecond))
+}
+
 // Bind records which build began the stream of an attempt. It does not wait for the store.
 func (k *Keeper) Bind(r *messenger.BindRequest, now time.Time) *messenger.BindReply {
 	s, ok := k.openShard(int(r.GetShard()), r.GetForce(), now)
 	if !ok {
 		return &messenger.BindReply{Elsewhere: true}
 	}
-	s.bind(r.GetAttempt(), descriptor.Build{Service: r.GetBuild().GetService(), Version: r.GetBuild().GetVersion()}, now)
+	s.bind(r, now)
 	return &messenger.BindReply{}
 }
 
 // bind keeps the binding of an attempt and queues its record.
-func (s *shard) bind(attempt string, build descriptor.Build, now time.Time) {
+func (s *shard) bind(r *messenger.BindRequest, now time.Time) {
+	attempt, retention := r.GetAttempt(), r.GetRetention()
+	build := descriptor.Build{Service: r.GetBuild().GetService(), Version: r.GetBuild().GetVersion()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.bindings.add(attempt, build, now) {
+	if !s.bindings.add(attempt, build, bindingExpiry(now, retention)) {
 		return
 	}
 	if len(s.queue)+len(s.deferred) >= maxQueuedBindings {
 		s.logger.Warn().Str("id", attempt).Msg("version of stream not recorded: too many changes are queued")
 		return
 	}
-	s.deferred = append(s.deferred, newChange("", bindingChange{attempt: attempt, build: build}))
+	s.deferred = append(s.deferred, newChange("", bindingChange{attempt: attempt, build: build, retention: retention}))
 	if !s.flushScheduled {
 		s.flushScheduled = true
 		time.AfterFunc(bindingDelay, s.flushScheduledChanges)
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -65,6 +65,8 @@
 type bindingChange struct {
 	attempt string
 	build   descriptor.Build
+	// retention is how long the request asked to keep the binding, in milliseconds.
+	retention int64
 }
 
 func (turnChange) kind()            {}
@@ -132,7 +134,7 @@
 		b.Allowances = append(b.Allowances, &recorder.Allowance{Program: c.program, Amount: k.amount})
 	case bindingChange:
 		b.Bindings = append(b.Bindings, &recorder.Binding{
-			Attempt: k.attempt, Service: k.build.Service, Version: k.build.Version,
+			Attempt: k.attempt, Service: k.build.Service, Version: k.build.Version, Retention: k.retention,
 		})
 	}
 }
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -237,9 +237,9 @@
 		s.account(e.GetProgram(), 0, now).applyOtherSettlement(e.GetTurn(), e.GetGenerated(), written)
 	}
 	for _, bound := range b.GetBindings() {
-		if age <= bindingTTL {
+		if expires := bindingExpiry(written, bound.GetRetention()); !now.After(expires) {
 			build := descriptor.Build{Service: bound.GetService(), Version: bound.GetVersion()}
-			s.bindings.add(bound.GetAttempt(), build, now.Add(-age))
+			s.bindings.add(bound.GetAttempt(), build, expires)
 		}
 	}
 	for _, a := range b.GetAllowances() {
