Do not avoid a home of an earlier release after Bind

While releases were mixed, each stream that began made its host avoid the home of the program for 500 ms. Turns of all programs of that home went to other hosts in the meantime, which first read its shards.

Cause: a home of an earlier release has no Bind and answers bad_route. The navigator took that for a failure of the host and went on to the next host, where the binding was of no use.

Before, on with the check of bad_route switched off: --- FAIL: TestHomeOfEarlierReleaseReplacedAfterBind { "h1", + "h0", }, - {"h1"}, + {"h0"}, --- FAIL: TestMissingBindTakenForFailure error of Bind is no host served the call as home of shard 0: twirp error bad_route

Change: Bind takes bad_route as not kept: it returns a NotKeptError, calls no other host and suspects none. The stream can't be resumed then, as before. Other calls treat bad_route as before.

The second checks what a real Twirp server answers.

--- a/navigator/navigator.go
+++ b/navigator/navigator.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
 
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
@@ -98,6 +99,22 @@
 // Unwrap returns the error of the last attempt.
 func (e *NoHomeError) Unwrap() error { return e.Cause }
 
+// NotKeptError reports that the home of the shard can't keep the build that began a stream,
+// because it is of an earlier release, which has no Bind. The host is healthy. Cause is the
+// error of the call.
+type NotKeptError struct {
+	Shard int32
+	Cause error
+}
+
+// Error implements the error interface.
+func (e *NotKeptError) Error() string {
+	return fmt.Sprintf("the home of shard %d keeps no versions of streams: %v", e.Shard, e.Cause)
+}
+
+// Unwrap returns the error of the call.
+func (e *NotKeptError) Unwrap() error { return e.Cause }
+
 // shardKey returns the key from which rendezvous hashing finds the home of a
 // shard.
 func shardKey(shard int) string { return fmt.Sprintf("shard/%d", shard) }
@@ -151,14 +168,30 @@
 }
 
 // Bind calls Bind at the home of the request's shard, which keeps the build that began the
-// stream of an attempt. Bind sets r.Force. The error is a *NoHomeError.
+// stream of an attempt. Bind sets r.Force. The error is a *NoHomeError or a *NotKeptError.
 func (n *Navigator) Bind(ctx context.Context, r *messenger.BindRequest) (*messenger.BindReply, error) {
-	return callHome(ctx, n, r.GetShard(), settleTimeout,
+	var notKept error
+	reply, err := callHome(ctx, n, r.GetShard(), settleTimeout,
 		func(ctx context.Context, h Home, force bool) (*messenger.BindReply, bool, error) {
 			r.Force = force
 			reply, err := h.Bind(ctx, r)
+			if isMissingMethod(err) {
+				notKept = &NotKeptError{Shard: r.GetShard(), Cause: err}
+				return nil, false, nil
+			}
 			return reply, reply.GetElsewhere(), err
 		})
+	if err == nil {
+		err = notKept
+	}
+	return reply, err
+}
+
+// isMissingMethod reports whether a call failed because the called host's release does not
+// have the method.
+func isMissingMethod(err error) bool {
+	var twirpErr twirp.Error
+	return errors.As(err, &twirpErr) && twirpErr.Code() == twirp.BadRoute
 }
 
 // End calls End at the home of the request's shard, which settles a turn. If the
