--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -210,6 +211,13 @@
 	return h.recorded
 }
 
+// requests returns the requests of the calls of End so far, in order.
+func (h *fakeHome) requests() []*messenger.EndRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.ended)
+}
+
 // startUpstream starts an upstream that answers the first request with the first
 // script, the second request with the second script, and so on. The last script also
 // answers all further requests.
--- a/forwarder/turn_test.go
+++ b/forwarder/turn_test.go
@@ -42,7 +42,7 @@
 	if diff := cmp.Diff([]string{"old\nnew"}, bodies); diff != "" {
 		t.Errorf("body at the upstream (-want +got):\n%s", diff)
 	}
-	end := f.home.ended[0]
+	end := f.home.requests()[0]
 	got := []any{string(end.GetInput()), string(end.GetOutput()), end.GetGenerated(), end.GetRetain()}
 	if diff := cmp.Diff([]any{"new", "d1\nd2\nd3\n", int64(54), true}, got); diff != "" {
 		t.Errorf("record (-want +got):\n%s", diff)
@@ -87,7 +87,7 @@
 			f.start(t, retained(), 1, f.startUpstream(t, "u", streamEvents(0)))
 			outcome, _ := f.serve(t, turnRequest())
 			var got []ended
-			for _, r := range f.home.ended {
+			for _, r := range f.home.requests() {
 				got = append(got, ended{r.GetShard(), r.GetAside(), string(r.GetChain()), r.GetPatient()})
 			}
 			if diff := cmp.Diff(c.want, got); diff != "" || outcome != "200" {
@@ -125,7 +125,7 @@
 			f.start(t, retained(), 1, f.startUpstream(t, "u", streamEvents(0)))
 			outcome, _ := f.serve(t, turnRequest())
 			var got []ended
-			for _, r := range f.home.ended {
+			for _, r := range f.home.requests() {
 				got = append(got, ended{string(r.GetChain()), r.Chain != nil, r.GetCached(), r.GetGenerated(), r.GetRetain()})
 			}
 			if diff := cmp.Diff(c.want, got); diff != "" || outcome != "200" {
@@ -165,7 +165,7 @@
 				t.Errorf("outcome, records (-want +got):\n%s", diff)
 			}
 			if c.waited > 0 {
-				checkRecordedTry(t, f.home.ended, c.waited)
+				checkRecordedTry(t, f.home.requests(), c.waited)
 			}
 		})
 	}
@@ -251,7 +251,8 @@
 	f.home.failed = map[int32]bool{own: true}
 	f.start(t, retained(), 1, f.startUpstream(t, "u", streamEvents(0)))
 	outcome, _ := f.serve(t, turnRequest())
-	last := f.home.ended[len(f.home.ended)-1]
+	requests := f.home.requests()
+	last := requests[len(requests)-1]
 	got := []any{outcome, f.home.records(), last.GetAside(), string(last.GetChain())}
 	if diff := cmp.Diff([]any{"200", []int32{(own + 3) % 4}, true, "old\n"}, got); diff != "" {
 		t.Errorf("outcome, records, aside, chain (-want +got):\n%s", diff)
@@ -307,7 +308,7 @@
 	f.start(t, retained(), 1, f.startUpstream(t, "u", streamEvents(2)))
 	outcome, _ := f.serve(t, turnRequest())
 	<-settled
-	end := f.home.ended[0]
+	end := f.home.requests()[0]
 	got := []any{outcome, end.GetGenerated(), end.GetRetain()}
 	if diff := cmp.Diff([]any{"cut cut", int64(36), false}, got); diff != "" {
 		t.Errorf("outcome, tokens, retained (-want +got):\n%s", diff)
@@ -341,7 +342,7 @@
 	if sent := <-closed; sent > mostSent {
 		t.Errorf("the upstream could send %d bytes", sent)
 	}
-	for _, end := range f.home.ended {
+	for _, end := range f.home.requests() {
 		if end.GetRetain() {
 			t.Error("the turn was recorded")
 		}
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -160,7 +160,7 @@
 	r := request()
 	r.LastEvent, r.Resumes = "2", "first"
 	outcome, _ := f.serve(t, r)
-	if diff := cmp.Diff([]any{"resume 503 no", 0}, []any{outcome, len(f.home.ended)}); diff != "" {
+	if diff := cmp.Diff([]any{"resume 503 no", 0}, []any{outcome, len(f.home.requests())}); diff != "" {
 		t.Errorf("outcome, records (-want +got):\n%s", diff)
 	}
 }
