Don't resume a stream whose last event has no id

What callers would see: events twice. An upstream broke a stream off whose events have no ids, and the host asked for the rest after no event at all, which is the whole stream.

Change: such a stream is cut where it broke off.

Result: TestEventsWithoutIDsSentTwice fails before: d1, then d1 to d3 again, as complete.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -67,6 +67,9 @@
 	// build is the software that began the stream. Only upstreams that run it may go on
 	// with the stream. It is zero until the stream has begun, and for other requests.
 	build descriptor.Build
+	// unnumbered is true if the caller's last event with data has no id. Nothing names the
+	// point then after which the stream would have to go on.
+	unnumbered bool
 	// resumeRetries counts the requests for the rest of an interrupted stream that an
 	// upstream may have run, since the last event.
 	resumeRetries int
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -26,7 +26,7 @@
 // if the stream can't be resumed.
 func (e *exchange) resume(ctx context.Context, t *turn, last string, cause error) *exchanger.Response {
 	var incomplete *exchanger.IncompleteError
-	if !t.kind.Resumable || !errors.As(cause, &incomplete) {
+	if !t.kind.Resumable || e.unnumbered || !errors.As(cause, &incomplete) {
 		return nil
 	}
 	e.config.Logger.Info().Err(cause).Str("id", e.request.ID).Str("upstream", e.upstream.ID).
--- a/forwarder/resume_test.go
+++ b/forwarder/resume_test.go
@@ -148,6 +148,21 @@
 	}
 }
 
+func TestEventsWithoutIDsSentTwice(t *testing.T) {
+	unnumbered := func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		const piece = "data: d1\n\n"
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(piece), piece)
+		return false
+	}
+	f := newFixture()
+	f.start(t, descriptor.Stream{Resumable: true}, 1, f.upstreamOf(t, "u0", "s", "v1", unnumbered, streamEvents(0)))
+	outcome, body := f.serve(t, request())
+	if diff := cmp.Diff([]string{"cut cut", "data: d1\n\n"}, []string{outcome, body}); diff != "" {
+		t.Errorf("outcome, body (-want +got):\n%s", diff)
+	}
+}
+
 // u0 restarts under its id as v2 while the list still names v1; u1 runs v1.
 func TestInterruptedStreamGoesOnAtRestartedUpstreamThatListIsBehindOf(t *testing.T) {
 	f := newFixture()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -155,6 +155,7 @@
 			*last = parsed.id
 		}
 		if parsed.hasData {
+			e.unnumbered = parsed.id == ""
 			e.generated += e.service.TokensPerEvent
 			if t.kind.Retain {
 				t.output = append(append(t.output, parsed.data...), '\n')
