Isolate a suspect only at the one home of its upstream

What callers saw: while a poison request went round and a host fell silent, an ordinary program was refused, "poison (run: yes): the request crashed the upstreams that ran it" (TestPairs/silent+poison/claim).

Cause: two homes of one upstream, each with an isolation semaphore of its own, both with a membership that counted as stable. The class is stale ownership: a decision rests on having been home earlier, and the end of a suspicion was not counted as a change of membership.

Evidence, from a failing run with the views logged: at 1.5 s host-2 and host-3 suspect each other; the poison request, a suspect after its first crash, goes to host-2 for engine-3 and waits there. At 2.0 s both clear the suspicion, and host-3 is home of engine-3 again, in both views. The change time stays at 1.5 s. At 4.59 s host-3 starts an ordinary suspect on engine-3, at 4.60 s host-2 the poison request, although its own view names host-3. At 4.65 s the engine crashes and both report that they ran alone, so that both are refused. A second failing run shows the same on engine-1.

Change: a suspicion that is cleared or expires restarts the time to settle. A dispatcher whose host is not home refuses a suspect with the reason home, and says alone only as the sole home. The coordinator sends such a request to the home, or refuses it if that home can't be reached: without that bound an isolated host waited again and again (found as a deadlock of the cell's end). A suspect waits up to 6 s instead of 4, as suspicion and settling take 5 s. A fault after a resumed send keeps that the call was sent.

The coordinator's new send has no focused test.

--- a/coordinator/model.go
+++ b/coordinator/model.go
@@ -25,6 +25,10 @@
 	// maxReconnects is the maximum number of times that one attempt reconnects to
 	// an upstream's home after the stream from the home was interrupted.
 	maxReconnects = 4
+	// homeRefusalPause is the pause before an attempt is sent again after a host
+	// refused it because another host is home. With maxReconnects it spans the time
+	// for which this host may wrongly suspect that home.
+	homeRefusalPause = 500 * time.Millisecond
 	// defaultMaxTokens limits the generated tokens when the caller sets no limit.
 	defaultMaxTokens = 1024
 	// firstRetryPause is the pause after the first failed attempt. It doubles
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/recorder"
 	"github.com/citronpier/citronpier/refuser"
@@ -15,6 +16,9 @@
 // If the stream from the home is interrupted, relay marks that host as suspected
 // and sends the request again, to the host that is now the upstream's home. If the
 // upstream has already been given the call, the new request asks to resume the call.
+// If the host refuses because another host is the upstream's home, relay sends the
+// request again after homeRefusalPause. If that home then can't be reached, relay
+// returns a refusal, because waiting at the refusing host again would not help.
 // Exactly one of the three results is not nil.
 func (g *generation) relay(ctx context.Context, u descriptor.Upstream, cost int64, try int) (*messenger.End, *messenger.Fault, error) {
 	c := g.coordinator
@@ -23,6 +27,7 @@
 		return nil, nil, refuser.New(refuser.Malformed, "%w", err)
 	}
 	req := g.dispatchRequest(u, body, cost, try)
+	homeRefused := false
 	for reconnects := 0; ; reconnects++ {
 		home, ok := c.config.View().UpstreamHome(u, c.config.Clock())
 		if !ok {
@@ -30,13 +35,18 @@
 		}
 		c.loads.countAttempt(u.ID)
 		end, fault, sent, err := g.streamAttempt(ctx, home, req)
+		if err == nil && fault.GetReason() == string(refuser.Home) && reconnects < maxReconnects {
+			homeRefused = true
+			waiter.Sleep(ctx, homeRefusalPause)
+			continue
+		}
 		if err == nil {
-			return end, fault, nil
+			return end, withEarlierSend(fault, req), nil
 		}
 		if ctx.Err() != nil {
 			return nil, nil, refuser.New(refuser.Cancelled, "cancelled").WithRun(descriptor.RunUnknown)
 		}
-		if reconnects == maxReconnects {
+		if reconnects == maxReconnects || (homeRefused && !sent) {
 			return nil, nil, refuser.New(refuser.Home, "%w", err).WithRun(descriptor.RunUnknown)
 		}
 		c.config.Suspect(home)
@@ -49,6 +59,15 @@
 	}
 }
 
+// withEarlierSend marks a fault as sent if an earlier host had given the upstream the
+// call that req resumes.
+func withEarlierSend(fault *messenger.Fault, req *messenger.DispatchRequest) *messenger.Fault {
+	if fault != nil && req.GetResume() {
+		fault.Sent = true
+	}
+	return fault
+}
+
 // dispatchRequest returns the request that starts an attempt from its beginning.
 func (g *generation) dispatchRequest(u descriptor.Upstream, body []byte, cost int64, try int) *messenger.DispatchRequest {
 	_, served := g.program.upstreamAndServed()
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -41,8 +41,9 @@
 	started time.Time
 	// position is the position of the next chunk to send to the requesting host.
 	position int64
-	// isolated is true if the request is suspected of crashing upstreams and no
-	// other suspected request was running on the upstream when the attempt started.
+	// isolated is true if the request is suspected of crashing upstreams, this host
+	// was the only home of the upstream, and no other suspected request was running
+	// on the upstream when the attempt started.
 	// If the upstream crashes, this request is then the likely cause.
 	isolated bool
 	// sent is true if the upstream may have received the call.
@@ -233,9 +234,9 @@
 	fault := messenger.NewFault(refuser.New(refuser.Upstream, "%w", err).WithRun(run))
 	fault.Sent = sent
 	fault.Crashed = crashed && sent
-	// If membership has changed since the attempt started, a second home may have
-	// run another suspected request on the upstream at the same time.
-	fault.Alone = a.isolated && a.dispatcher.config.MembershipStable()
+	// If the home has changed since the attempt started, a second home may have run
+	// another suspected request on the upstream at the same time.
+	fault.Alone = a.isolated && a.dispatcher.isSoleHome(a.queue.currentUpstream())
 	fault.Load = a.queue.load()
 	return a.emit(&messenger.Frame{Body: &messenger.Frame_Fault{Fault: fault}})
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -27,10 +27,11 @@
 	Members func() descriptor.Members
 	// Refresh reads the service-discovery list again if the last copy is too old.
 	Refresh func(ctx context.Context)
-	// MembershipStable reports whether no host has joined or left recently. While
-	// it returns true, no other host considers itself home of this host's
-	// upstreams.
+	// MembershipStable reports whether the set of live hosts has not changed
+	// recently. While it returns true, all hosts agree on the home of each upstream.
 	MembershipStable func() bool
+	// IsHome reports whether this host is now the home of an upstream.
+	IsHome func(descriptor.Upstream) bool
 	// Rules returns the operator's rules in force.
 	Rules func() parser.Rules
 	// Order is the queueing discipline; nil means scheduler.Fair.
@@ -59,7 +60,8 @@
 // Run queues a call, sends it to the upstream once it is granted a slot, and
 // emits the response as frames. The last frame is an End, a Reply or a Fault.
 // Run returns an error if the call is not admitted or is cancelled, or if emit
-// fails.
+// fails. It refuses a request that may crash the upstream with the reason Home if
+// another host is home of the upstream.
 func (d *Dispatcher) Run(ctx context.Context, req *messenger.DispatchRequest, emit func(*messenger.Frame) error) error {
 	q, ok := d.queue(req.GetUpstream())
 	if !ok {
@@ -88,7 +90,7 @@
 	d.config.Counters.Reached(counter.StageDispatched)
 	a := attempt{
 		dispatcher: d, queue: q, req: req, emit: emit, started: d.config.Clock(),
-		isolated: req.GetAlone() && d.config.MembershipStable(),
+		isolated: req.GetAlone() && d.isSoleHome(q.currentUpstream()),
 	}
 	return a.run(ctx)
 }
@@ -152,7 +154,8 @@
 // isolate waits until a request that is suspected of crashing upstreams can run as
 // the only such request on its upstream. It waits for the upstream's isolation
 // semaphore, and then, for at most settledTimeout, until no other host considers
-// itself home of the upstream.
+// itself home of the upstream. If another host is home then, isolate returns a
+// refusal: the semaphore of this host does not keep that host's requests away.
 func (d *Dispatcher) isolate(ctx context.Context, q *upstreamQueue) (release func(), err error) {
 	release, err = q.acquireIsolation(ctx)
 	if err != nil {
@@ -162,16 +165,28 @@
 	for !d.config.MembershipStable() && d.config.Clock().Before(deadline) && ctx.Err() == nil {
 		waiter.Sleep(ctx, settledPollInterval)
 	}
+	u := q.currentUpstream()
+	if d.config.MembershipStable() && !d.config.IsHome(u) {
+		release()
+		return nil, refuser.New(refuser.Home, "another host is home of upstream %s", u.ID)
+	}
 	return release, nil
 }
 
+// isSoleHome reports whether this host, and no other, considers itself home of an
+// upstream.
+func (d *Dispatcher) isSoleHome(u descriptor.Upstream) bool {
+	return d.config.MembershipStable() && d.config.IsHome(u)
+}
+
 const (
 	// settledPollInterval is the time between two checks of Config.MembershipStable.
 	settledPollInterval = 100 * time.Millisecond
 	// settledTimeout is how long a request that may crash its upstream waits
 	// until Config.MembershipStable returns true. After that time, the request runs
-	// even if the membership is not stable.
-	settledTimeout = 4 * time.Second
+	// even if the membership is not stable. It is longer than a host is suspected
+	// after one failure and the membership then takes to settle, together 5 s.
+	settledTimeout = 6 * time.Second
 )
 
 // awaitSlot waits until the queue closes granted, which gives the call a slot.
--- a/follow.go
+++ b/follow.go
@@ -44,7 +44,7 @@
 		h.suspect(other)
 		return
 	}
-	h.members.clearSuspicion(other.ID)
+	h.members.clearSuspicion(other.ID, h.settings.clock())
 	h.coordinator.RecordLoads(reply.GetLoads())
 }
 
--- a/host.go
+++ b/host.go
@@ -129,6 +129,7 @@
 		Members:          func() descriptor.Members { return h.members.view().Members() },
 		Refresh:          h.refreshMembers,
 		MembershipStable: h.settled,
+		IsHome:           h.isUpstreamHome,
 		Order:            h.settings.order,
 		Rules:            h.publisher.Rules,
 		Clock:            h.settings.clock,
--- a/members.go
+++ b/members.go
@@ -36,7 +36,8 @@
 	current locator.View
 	// readAt is when the last successful read of the list began.
 	readAt time.Time
-	// changedAt is when the set of live hosts last changed.
+	// changedAt is when the set of live hosts last changed, except by a suspicion
+	// that expired.
 	changedAt time.Time
 	// leavingListedAt is when the list first showed this host as leaving; zero
 	// before that.
@@ -78,10 +79,14 @@
 
 // clearSuspicion ends the suspicion of a host, so that the host can become home
 // again like any other host.
-func (t *memberTable) clearSuspicion(host string) {
+func (t *memberTable) clearSuspicion(host string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.current.Live(now)
 	t.current = t.current.WithoutSuspect(host)
+	if !slices.Equal(before, t.current.Live(now)) {
+		t.changedAt = now
+	}
 }
 
 // leavingKnown reports whether all other hosts have had time to read from the
@@ -93,11 +98,15 @@
 }
 
 // settled reports whether settleTime has passed since the set of live hosts last
-// changed.
+// changed. The end of a suspicion is such a change too.
 func (t *memberTable) settled(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Sub(t.changedAt) > settleTime
+	if now.Sub(t.changedAt) <= settleTime {
+		return false
+	}
+	// The two sets differ if a suspicion expired between these times.
+	return slices.Equal(t.current.Live(now.Add(-settleTime)), t.current.Live(now))
 }
 
 func (t *memberTable) lastRead() time.Time {
@@ -143,9 +152,16 @@
 	h.members.suspect(failed.ID, h.settings.clock().Add(suspicionTime))
 }
 
-// settled reports whether settleTime has passed since a host last joined or left.
+// settled reports whether settleTime has passed since the set of live hosts last
+// changed.
 func (h *Host) settled() bool { return h.members.settled(h.settings.clock()) }
 
+// isUpstreamHome reports whether this host is now the home of an upstream.
+func (h *Host) isUpstreamHome(u descriptor.Upstream) bool {
+	home, ok := h.members.view().UpstreamHome(u, h.settings.clock())
+	return ok && h.isSelf(home)
+}
+
 // followMembers reads the service-discovery list and announces this host to it,
 // every listReadInterval.
 func (h *Host) followMembers(ctx context.Context) error {
