Run no unrecorded turn at a home that has taken a shard over

Cause: each home lets one turn run that neither its recorded allowance nor a record covers, while the record is on its way. The budget bears one such turn. Homes that die one after another leave one each.

The first home of a shard goes on as before.

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -154,14 +154,17 @@
 // reserve sets aside the maximum number of tokens that a turn can generate, if the
 // budget covers them. A repeated call for the same turn reserves nothing more. If
 // the verdict is RecordFirst, the caller waits for the returned change, if there is
-// one, and tries again.
+// one, and tries again. If it is EscrowReserved, the turn may run once the returned
+// change, if there is one, is in the store: a turn that no record and no allowance
+// covers is run by the first home of a shard only, because each home that dies may
+// leave one.
 func (s *shard) reserve(r *messenger.BeginRequest, now time.Time) (budgeter.Verdict, *change, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(r.GetProgram(), time.Duration(r.GetRetention())*time.Millisecond, now)
 	a.escrow.Budget = r.GetBudget()
-	if _, ok := a.reservations[r.GetTurn()]; ok {
-		return budgeter.EscrowReserved{}, nil, nil
+	if res, ok := a.reservations[r.GetTurn()]; ok {
+		return budgeter.EscrowReserved{}, s.changeBeforeRun(res), nil
 	}
 	escrow, verdict := a.escrow.WithReservation(r.GetMost())
 	switch v := verdict.(type) {
@@ -170,15 +173,25 @@
 		return v, pending, err
 	case budgeter.EscrowReserved:
 		a.escrow = escrow
-		a.reservations[r.GetTurn()] = &reservation{maxTokens: r.GetMost()}
+		res := &reservation{maxTokens: r.GetMost()}
+		a.reservations[r.GetTurn()] = res
 		if v.RecordNow {
 			_, err := s.recordReservations(r.GetProgram(), a)
-			return v, nil, err
+			return v, s.changeBeforeRun(res), err
 		}
 	}
 	return verdict, nil, nil
 }
 
+// changeBeforeRun returns the queued record of a reservation if it has to be in the store
+// before the turn runs, and nil otherwise. The caller holds mu.
+func (s *shard) changeBeforeRun(res *reservation) *change {
+	if !s.hadOtherWriter {
+		return nil
+	}
+	return res.change
+}
+
 // recordReservations queues the account's unrecorded reservations for the store,
 // and an allowance if this home has none. It returns one of the queued changes, or nil
 // if nothing is left to write. A caller that waits for the returned change then calls
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -33,6 +33,9 @@
 	loaded bool
 	// loading is the read of the whole partition that is under way, or nil.
 	loading *loading
+	// hadOtherWriter is set once the partition is known to have records that another
+	// home, or an earlier incarnation of this host, has written.
+	hadOtherWriter bool
 	// hadOtherHome is set if another host was home of the shard after the partition was
 	// read to its end.
 	hadOtherHome bool
@@ -188,6 +191,7 @@
 	defer s.mu.Unlock()
 	s.logger.Info().Int64("from", s.end).Int64("first", first).Msg("skipping expired records")
 	s.end = first
+	s.hadOtherWriter = true
 	s.decoder = decoder{}
 }
 
@@ -217,6 +221,7 @@
 // applyForeign applies a batch that was appended by another home or by an earlier
 // incarnation of this host.
 func (s *shard) applyForeign(b *recorder.ShardBatch, now time.Time) {
+	s.hadOtherWriter = true
 	for _, h := range b.GetHolds() {
 		s.account(h.GetProgram(), time.Duration(h.GetRetention())*time.Millisecond, now).
 			applyOtherReservation(h.GetTurn(), h.GetMost())
