Refuse a repeated Begin of a turn that was given up

What callers would see: a program exceeds its budget. Found by reading the change again.

Cause: a home that has waited in vain for the record of a reservation refuses the turn and settles it with 0 tokens. If the entry host had not got that answer and asked again, the known turn was answered as reserved, with nothing reserved for it.

Result: TestTurnRunsWithoutReservationAfterRepeatedBegin got UNCERTAIN, RESERVED, RESERVED, EXCEEDED before; the second is UNCERTAIN now.

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -152,7 +152,8 @@
 }
 
 // reserve sets aside the maximum number of tokens that a turn can generate, if the
-// budget covers them. A repeated call for the same turn reserves nothing more. If
+// budget covers them. A repeated call for the same turn reserves nothing more; it returns
+// an *EndedError if the turn's reservation was settled meanwhile. If
 // the verdict is RecordFirst, the caller waits for the returned change, if there is
 // one, and tries again. If it is EscrowReserved, the turn may run once the returned
 // change, if there is one, is in the store: a turn that no record and no allowance
@@ -164,6 +165,9 @@
 	a := s.account(r.GetProgram(), time.Duration(r.GetRetention())*time.Millisecond, now)
 	a.escrow.Budget = r.GetBudget()
 	if res, ok := a.reservations[r.GetTurn()]; ok {
+		if res.settled {
+			return nil, nil, &EndedError{Turn: r.GetTurn()}
+		}
 		return budgeter.EscrowReserved{}, s.changeBeforeRun(res), nil
 	}
 	escrow, verdict := a.escrow.WithReservation(r.GetMost())
@@ -183,6 +187,12 @@
 	return verdict, nil, nil
 }
 
+// EndedError reports that a turn which is to begin has ended or was given up before.
+type EndedError struct{ Turn string }
+
+// Error returns a message with the turn's id.
+func (e *EndedError) Error() string { return "turn " + e.Turn + " has ended already" }
+
 // changeBeforeRun returns the queued record of a reservation if it has to be in the store
 // before the turn runs, and nil otherwise. The caller holds mu.
 func (s *shard) changeBeforeRun(res *reservation) *change {
--- a/keeper/budget_test.go
+++ b/keeper/budget_test.go
@@ -33,3 +33,27 @@
 		}
 	})
 }
+
+// The entry host repeats Begin after the home has given up waiting for the record.
+func TestTurnRunsWithoutReservationAfterRepeatedBegin(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		other := beginRequest("0", "")
+		other.Program = "q"
+		f.startHome(ctx, "first").Begin(ctx, other, time.Now())
+		time.Sleep(time.Second)
+		home := f.startHome(ctx, "second")
+		begin := func(turn string) string {
+			r := beginRequest(turn, "")
+			r.Retain, r.Budget = false, maxTokens
+			return home.Begin(ctx, r, time.Now()).GetVerdict().String()
+		}
+		f.store.SetFault(refuseAppends)
+		got := []string{begin("1")}
+		f.store.SetFault(nil)
+		time.Sleep(recordTime)
+		got = append(got, begin("1"), begin("2"), begin("3"))
+		if diff := cmp.Diff([]string{"UNCERTAIN", "UNCERTAIN", "RESERVED", "EXCEEDED"}, got); diff != "" {
+			t.Errorf("verdicts (-want +got):\n%s", diff)
+		}
+	})
+}
