--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -269,8 +269,7 @@
 	}
 	_, listed := e.config.Upstreams()
 	if listed && len(e.tried) == 0 && e.build != (descriptor.Build{}) {
-		return refused(refuser.New(refuser.Resume, "no upstream of service %s runs version %s, which began the stream",
-			e.service.Name, e.build.Version))
+		return refused(refuser.New(refuser.Resume, "%w, which began the stream", &NoUpstreamError{Build: e.build}))
 	}
 	if len(e.tried) == 0 {
 		return refused(refuser.New(refuser.Capacity, "no upstream of service %s is listed", e.service.Name).WithRetry(retryAfterNoUpstream))
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -21,10 +21,10 @@
 	resumePause = 20 * time.Millisecond
 )
 
-// resume requests the events of an interrupted stream after the event with the id last,
+// resumeInterrupted requests the events of an interrupted stream after the event with the id last,
 // from one upstream of the stream's build after another until one answers. It returns nil
 // if the stream can't be resumed.
-func (e *exchange) resume(ctx context.Context, t *turn, last string, cause error) *exchanger.Response {
+func (e *exchange) resumeInterrupted(ctx context.Context, t *turn, last string, cause error) *exchanger.Response {
 	var incomplete *exchanger.IncompleteError
 	if !t.kind.Resumable || e.unnumbered || !errors.As(cause, &incomplete) {
 		return nil
@@ -56,11 +56,12 @@
 // retryRest logs and counts a failed request for the rest of a stream. It returns false if
 // no upstream is left.
 func (e *exchange) retryRest(err error) bool {
-	e.config.Logger.Info().Err(err).Str("id", e.request.ID).Str("upstream", e.upstream.ID).Msg("rest of stream not received")
 	var none *NoUpstreamError
 	if errors.As(err, &none) {
+		e.config.Logger.Info().Err(err).Str("id", e.request.ID).Msg("rest of stream not received")
 		return false
 	}
+	e.config.Logger.Info().Err(err).Str("id", e.request.ID).Str("upstream", e.upstream.ID).Msg("rest of stream not received")
 	e.tried = withTried(e.tried, e.upstream.ID)
 	var incomplete *exchanger.IncompleteError
 	if errors.As(err, &incomplete) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -67,7 +67,7 @@
 		if last != before {
 			e.resumeRetries = 0
 		}
-		response = e.resume(ctx, t, last, err)
+		response = e.resumeInterrupted(ctx, t, last, err)
 		if response == nil {
 			e.settleInBackground(t)
 			return e.cutOutcome(ctx, err)
--- a/forwarder/turn_test.go
+++ b/forwarder/turn_test.go
@@ -1,7 +1,6 @@
 package forwarder_test
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
+	"github.com/citronpier/citronpier/navigator"
 	"github.com/citronpier/citronpier/refuser"
 )
 
@@ -206,7 +206,7 @@
 }
 
 func TestAnsweredTurnCutByOneFailureOfItsHome(t *testing.T) {
-	failure := errors.New("no host served the call as home of the shard")
+	failure := &navigator.NoHomeError{Cause: io.ErrUnexpectedEOF}
 	own := int32(keeper.Shard("p", 4))
 	for _, c := range []struct {
 		name        string
--- a/keeper/end_test.go
+++ b/keeper/end_test.go
@@ -170,6 +170,15 @@
 	})
 }
 
+// homeWithNavigator starts a home that searches other shards through a navigator.
+func (f *fixture) homeWithNavigator(ctx context.Context, id string, n *navigator.Navigator) navigator.Home {
+	return directHome{keeper.New(ctx, keeper.Config{
+		Incarnation: id, Store: f.store.Host(id), Partitions: partitions, RecordBytes: 1 << 10,
+		Home: n.IsHome, StoreReachable: func(time.Time) bool { return true }, Search: n.Search,
+		Counters: &counter.Set{}, Logger: zerolog.Nop(),
+	})}
+}
+
 // One host is home of the turn's shard and of the previous turn's shard.
 func TestAnsweredTurnCutByCrashOfPreviousTurnsHome(t *testing.T) {
 	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
@@ -196,12 +205,7 @@
 			})
 		}
 		for _, h := range hosts {
-			n := newNavigator(h.ID)
-			homes[h.ID] = directHome{keeper.New(ctx, keeper.Config{
-				Incarnation: h.ID, Store: f.store.Host(h.ID), Partitions: partitions, RecordBytes: 1 << 10,
-				Home: n.IsHome, StoreReachable: func(time.Time) bool { return true }, Search: n.Search,
-				Counters: &counter.Set{}, Logger: zerolog.Nop(),
-			})}
+			homes[h.ID] = f.homeWithNavigator(ctx, h.ID, newNavigator(h.ID))
 		}
 		entry := newNavigator("entry")
 		previous := endRequest("1", "")
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -316,7 +316,7 @@
 func (s *shard) prune(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.keepPreviousOfQueued(now)
+	s.keepPreviousOfPending(now)
 	s.tree.Prune(now)
 	for program, a := range s.accounts {
 		if now.Sub(a.lastUsed) > accountRetentionFactor*max(a.retention, minAccountRetention) {
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -95,10 +95,10 @@
 	s.tree.Keep(r.GetPrevious(), now.Add(time.Duration(r.GetRetention())*time.Millisecond))
 }
 
-// keepPreviousOfQueued keeps the previous turns of all turns that wait for an append,
+// keepPreviousOfPending keeps the previous turns of all turns whose append has not ended,
 // and all turns before them: an append may wait longer than the turn's retention. The
 // caller holds mu.
-func (s *shard) keepPreviousOfQueued(now time.Time) {
+func (s *shard) keepPreviousOfPending(now time.Time) {
 	for _, c := range s.pendingTurns {
 		if k, ok := c.kind.(turnChange); ok {
 			s.tree.Keep(k.turn.GetPrevious(), now)
