Show that a request that crashes its upstreams is sent on and on

Evidence: TestCrashingRequestKeepsReachingUpstreams has upstreams that end when they begin to run a given body, three hosts, and a caller that comes again at another host.

--- /dev/null
+++ b/challenger/crash_test.go
@@ -0,0 +1,237 @@
+package challenger_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/citronpier/citronpier/descriptor"
+)
+
+const (
+	// crashText in the body of a request makes each upstream crash that begins to run it.
+	crashText = "crash\n"
+	// knownWithin is how long after the third crash all hosts may take to know of it.
+	knownWithin = 3 * time.Second
+	// maxLateArrivals is how often a request that has crashed three upstreams may reach
+	// upstreams after that.
+	maxLateArrivals = 3
+	// crashRepeats is how often the caller sends the request, and crashPause the pause
+	// between the response and the next attempt.
+	crashRepeats = 40
+	crashPause   = 400 * time.Millisecond
+)
+
+// crashCase is one way in which a request that crashes upstreams comes again.
+type crashCase struct {
+	name    string
+	request func(id string) descriptor.Request
+	// atOnce is the number of attempts that are under way at the same time.
+	atOnce int
+	// silent is true if upstreams fall silent in place of closing their connections.
+	silent bool
+	// fault is injected after the third crash.
+	fault func(fx *fixture)
+}
+
+func crashingTurn(id string) descriptor.Request { return turnRequest(id, "crash", "", crashText) }
+
+func crashingCall(path string) func(id string) descriptor.Request {
+	return func(id string) descriptor.Request { return request(id, path, crashText) }
+}
+
+var crashCases = []crashCase{
+	{name: "turn", request: crashingTurn, atOnce: 1},
+	{name: "call that runs once", request: crashingCall("/once/x"), atOnce: 1},
+	{name: "idempotent call", request: crashingCall(fmt.Sprintf("/v%d/x", versionStep)), atOnce: 1},
+	{name: "three at once", request: crashingCall("/once/x"), atOnce: 3},
+	{name: "silent upstreams", request: crashingCall("/once/x"), atOnce: 1, silent: true},
+	{name: "other programs", request: func(id string) descriptor.Request { return turnRequest(id, "crash"+id, "", crashText) }, atOnce: 1},
+	{name: "one host dies", request: crashingTurn, atOnce: 1, fault: func(fx *fixture) { fx.kill(fx.live()[0]) }},
+	{name: "all hosts die", request: crashingTurn, atOnce: 1, fault: func(fx *fixture) { fx.kill(fx.live()...) }},
+	{name: "a host stands still", request: crashingCall("/once/x"), atOnce: 1, fault: func(fx *fixture) { fx.pause(fx.live()[0]) }},
+	{name: "heartbeats are lost", request: crashingCall("/once/x"), atOnce: 1, fault: func(fx *fixture) { fx.loseHeartbeats(fx.live()[0]) }},
+	{name: "store is down", request: crashingTurn, atOnce: 1, fault: func(fx *fixture) { fx.storeFault(faults{down: true}) }},
+}
+
+func TestCrashingRequestKeepsReachingUpstreams(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runCrashCase(t, c) })
+		})
+	}
+}
+
+// runCrashCase sends the crashing request to one host after another, beside requests that
+// crash nothing, and checks how often it reached upstreams and that the others were served.
+func runCrashCase(t *testing.T, c crashCase) {
+	fx := newFixture(t)
+	defer fx.stop()
+	fx.crashes = &crashes{fault: c.fault, silent: c.silent}
+	for i := range 4 {
+		fx.chats = append(fx.chats, fx.startUpstream(fmt.Sprint("chat", i+2), "chat", 1))
+		fx.tools = append(fx.tools, fx.startUpstream(fmt.Sprint("tool", i+2), "tool", 1))
+	}
+	time.Sleep(time.Second)
+	var callers sync.WaitGroup
+	for i := range c.atOnce {
+		callers.Go(func() { fx.repeat(c, i) })
+	}
+	callers.Go(func() { fx.sendOthers() })
+	callers.Wait()
+	time.Sleep(2 * restartDelay)
+	fx.stopEnded()
+	fx.crashes.check(t)
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	for _, id := range fx.observed.reportedNotRun {
+		if len(fx.observed.ran[id]) > 0 {
+			t.Errorf("request %s ran and was reported as not run", id)
+		}
+	}
+}
+
+// repeat sends the crashing request crashRepeats times, each time to another host.
+func (fx *fixture) repeat(c crashCase, caller int) {
+	for i := range crashRepeats {
+		if live := fx.live(); len(live) > 0 {
+			fx.send(live[(i+caller)%len(live)], c.request(fmt.Sprintf("crash%d.%d", caller, i)))
+		}
+		time.Sleep(crashPause)
+	}
+}
+
+// sendOthers sends calls and turns that crash nothing. Each is repeated until it is
+// answered, as callers do, and none may be refused as one that crashes upstreams.
+func (fx *fixture) sendOthers() {
+	for i := range 3 * crashRepeats {
+		for try := range maxAttempts {
+			live := fx.live()
+			if len(live) == 0 {
+				time.Sleep(restartDelay)
+				continue
+			}
+			id := fmt.Sprintf("other%d.%d", i, try)
+			r := request(id, fmt.Sprintf("/v%d/%d", versionStep, i), "")
+			if i%2 == 0 {
+				r = turnRequest(id, fmt.Sprint("other", i), "", input(i))
+			}
+			got := fx.send(live[(i+try)%len(live)], r)
+			if got.complete {
+				break
+			}
+			if strings.Contains(got.body, "crashed") {
+				fx.t.Errorf("request %s, which crashes nothing, was refused: %s", id, got.body)
+			}
+			time.Sleep(crashPause / 4)
+		}
+		time.Sleep(crashPause / 4)
+	}
+}
+
+// crashes counts the arrivals of the request that crashes upstreams.
+type crashes struct {
+	fault  func(fx *fixture)
+	silent bool
+
+	// ended has the upstreams that have crashed. It is protected by the fixture's mu.
+	ended []*upstream
+
+	mu       sync.Mutex
+	arrivals []time.Time
+}
+
+// arrive counts an arrival. It returns true for the third.
+func (c *crashes) arrive(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivals = append(c.arrivals, now)
+	return len(c.arrivals) == 3
+}
+
+// check checks how often the request reached upstreams later than knownWithin after it
+// crashed the third.
+func (c *crashes) check(t *testing.T) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.arrivals) < 3 {
+		t.Fatalf("the request crashed only %d upstreams", len(c.arrivals))
+	}
+	late := 0
+	for _, at := range c.arrivals {
+		if at.Sub(c.arrivals[2]) > knownWithin {
+			late++
+		}
+	}
+	t.Logf("the request reached upstreams %d times, %d of them late", len(c.arrivals), late)
+	if late > maxLateArrivals {
+		t.Errorf("the request reached upstreams %d times in all, and %d times later than %s after it had crashed the third; want at most %d",
+			len(c.arrivals), late, knownWithin, maxLateArrivals)
+	}
+}
+
+// crashOn crashes the upstream if the body of a request says so.
+func (u *upstream) crashOn(body string) {
+	fx := u.fixture
+	if fx.crashes == nil || !strings.Contains(body, crashText) {
+		return
+	}
+	third := fx.crashes.arrive(time.Now())
+	u.crashOnce.Do(func() { fx.crashUpstream(u) })
+	if third && fx.crashes.fault != nil {
+		fx.crashes.fault(fx)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// crashUpstream ends an upstream, which is back after restartDelay.
+func (fx *fixture) crashUpstream(u *upstream) {
+	if fx.crashes.silent {
+		u.link.Pause()
+	} else {
+		u.link.Kill()
+		u.stop()
+	}
+	time.AfterFunc(restartDelay, func() { fx.restartUpstream(u) })
+}
+
+// restartUpstream replaces a crashed upstream.
+func (fx *fixture) restartUpstream(u *upstream) {
+	fresh := fx.startUpstream(u.id, u.entry.Service, u.incarnation+1)
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	fx.crashes.ended = append(fx.crashes.ended, u)
+	fx.chats = replaced(fx.chats, u, fresh)
+	fx.tools = replaced(fx.tools, u, fresh)
+}
+
+// stopEnded stops the upstreams that fell silent.
+func (fx *fixture) stopEnded() {
+	fx.mu.Lock()
+	ended := fx.crashes.ended
+	fx.mu.Unlock()
+	for _, u := range ended {
+		if fx.crashes.silent {
+			u.link.Resume()
+		}
+		u.link.Kill()
+		u.stop()
+	}
+}
+
+// replaced returns list with another upstream in place of u.
+func replaced(list []*upstream, u, by *upstream) []*upstream {
+	list = append([]*upstream{}, list...)
+	for i := range list {
+		if list[i] == u {
+			list[i] = by
+		}
+	}
+	return list
+}
--- a/challenger/fixture_test.go
+++ b/challenger/fixture_test.go
@@ -74,6 +74,8 @@
 	lastFault time.Time
 	faults    faults
 	observed  observations
+	// crashes counts the arrivals of a request that crashes upstreams; nil if there is none.
+	crashes *crashes
 }
 
 // faults are the active faults of the store.
--- a/challenger/upstream_test.go
+++ b/challenger/upstream_test.go
@@ -23,6 +23,7 @@
 	link        *standin.Link
 	server      *http.Server
 	entry       descriptor.Upstream
+	crashOnce   sync.Once
 
 	mu     sync.Mutex
 	killed bool
@@ -95,6 +96,7 @@
 	cutNext := u.cutNext
 	u.cutNext = false
 	u.mu.Unlock()
+	u.crashOn(string(body))
 	rw.Header().Set("Id", id)
 	if strings.HasPrefix(r.URL.Path, "/chat/") {
 		u.generate(rw, id, cutNext)
