Log which request an attempt repeats

The log named attempts only, so that two attempts of one request could not be joined. The lines of a request's end and of a lost response have its fingerprint now, a hash over what its caller repeats: credentials, method, host, target, previous turn, body.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
+	"github.com/citronpier/citronpier/isolator"
 	"github.com/citronpier/citronpier/refuser"
 	"github.com/citronpier/citronpier/watcher"
 )
@@ -31,9 +32,11 @@
 type exchange struct {
 	*Forwarder
 	request descriptor.Request
-	sink    Sink
-	route   descriptor.Route
-	service descriptor.Service
+	// fingerprint identifies the request over all attempts of its caller.
+	fingerprint isolator.Fingerprint
+	sink        Sink
+	route       descriptor.Route
+	service     descriptor.Service
 	// version is the version of the configuration that was in force when the request
 	// arrived.
 	version int64
@@ -82,7 +85,7 @@
 
 // withFields adds the fields that describe the request to a log event.
 func (e *exchange) withFields(event *zerolog.Event, now time.Time) *zerolog.Event {
-	event = event.Str("id", e.request.ID).Str("route", e.route.Name).Int64("config", e.version).
+	event = event.Str("id", e.request.ID).Str("fingerprint", string(e.fingerprint)).Str("route", e.route.Name).Int64("config", e.version).
 		Dur("took_ms", now.Sub(e.began)).Int("sends", e.sends)
 	if e.request.Program != "" {
 		event = event.Str("program", e.request.Program).Str("session", e.request.Session)
@@ -236,7 +239,7 @@
 	if o := e.contextOutcome(ctx); o != nil {
 		return o
 	}
-	event.Msg("response of upstream lost")
+	event.Str("fingerprint", string(e.fingerprint)).Int("runs", e.runs).Msg("response of upstream lost")
 	if e.repeatable(e.runs) {
 		e.config.Counters.Retried(retryReason(err))
 		return nil
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
+	"github.com/citronpier/citronpier/isolator"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/refuser"
 	"github.com/citronpier/citronpier/watcher"
@@ -112,7 +113,7 @@
 // Serve forwards one request that arrived at now, writes the response to the sink,
 // and counts and logs the outcome. It returns when the request has ended.
 func (f *Forwarder) Serve(ctx context.Context, r descriptor.Request, sink Sink, now time.Time) Outcome {
-	e := &exchange{Forwarder: f, request: r, sink: sink, began: now}
+	e := &exchange{Forwarder: f, request: r, fingerprint: isolator.NewRequestFingerprint(r), sink: sink, began: now}
 	outcome := f.serve(ctx, e, now)
 	f.recordOutcome(e, outcome, time.Now())
 	return outcome
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -29,7 +29,7 @@
 	if !t.kind.Resumable || e.unnumbered || !errors.As(cause, &incomplete) {
 		return nil
 	}
-	e.config.Logger.Info().Err(cause).Str("id", e.request.ID).Str("upstream", e.upstream.ID).
+	e.config.Logger.Info().Err(cause).Str("id", e.request.ID).Str("fingerprint", string(e.fingerprint)).Str("upstream", e.upstream.ID).
 		Str("version", e.upstream.Version).Str("after", last).Msg("stream interrupted, resuming")
 	e.config.Counters.Retried(counter.RetryResume)
 	// An upstream that was full when the stream began may have room now.
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -1,8 +1,6 @@
 package isolator
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -10,20 +8,6 @@
 	"github.com/citronpier/citronpier/recorder"
 )
 
-// Fingerprint identifies a model request by its content. It is the same on every
-// host.
-type Fingerprint string
-
-// NewFingerprint returns the fingerprint of a request: the first 16 bytes, in hexadecimal,
-// of a hash over the model name and the digest of the messages.
-func NewFingerprint(model string, digest []byte) Fingerprint {
-	h := sha256.New()
-	_, _ = h.Write([]byte(model))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(digest)
-	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
-}
-
 // crashesToRefuse is the number of counted crashes after which a request is
 // refused.
 const crashesToRefuse = 2
