Refuse a request that crashes its upstreams at all hosts

Cause: a result of a request was forgotten with its attempt. No host kept that an upstream ended under a request, not even the host that saw it; the trial's path knows such requests, the platform's path did not ask. The class: what was learned about a request is lost because the next attempt has another id or comes to another host.

Evidence: TestCrashingRequestKeepsReachingUpstreams failed in all of its cases (40 arrivals of 40 attempts, 30 to 48 of them later than 3 s after the third crash; 3 are allowed). The log with the fingerprint shows each host sending again what it has lost.

Change: a lost response is examined: if its connection failed and nothing listens at the upstream any more, or if the upstream's entry shows a new incarnation or its removal, the upstream has ended while it ran the request. Reports go to all hosts with the membership's messages, and to hosts that start. After three crashes one after the other the request is refused for ten minutes, 503 with the time left. A crash counts only for the request with the most crashes among those lost in it, crashes at which the request ran at the same time count half, and a request that was answered in the last minute is above suspicion. Package isolator serves both paths; its queue of the gossiper is generic now.

--- a/challenger/matrix_test.go
+++ b/challenger/matrix_test.go
@@ -260,8 +260,11 @@
 func (fx *fixture) changeDeployment() {
 	fx.configure()
 	fx.reachStep("configuration")
+	fx.mu.Lock()
 	leaving := fx.tools[1].entry.WithLeaving(true)
 	leaving.HeartbeatSequence++
+	fx.tools[1].entry = leaving
+	fx.mu.Unlock()
 	fx.putKeyed(upstreams, leaving.ID, leaving)
 	fx.reachStep("departure")
 	// The other hosts take over the shards of the killed host.
@@ -331,6 +334,9 @@
 	for _, text := range fx.observed.violations {
 		fx.t.Error(text)
 	}
+	if fx.crashes != nil {
+		fx.crashes.check(fx.t)
+	}
 	for id, bodies := range fx.observed.ran {
 		if strings.HasPrefix(id, "c") && len(bodies) > 1 {
 			fx.t.Errorf("request %s ran %d times", id, len(bodies))
--- a/coordinator/model.go
+++ b/coordinator/model.go
@@ -84,7 +84,7 @@
 // checkCrashes refuses a request that has crashed upstreams repeatedly. It marks a
 // request that has crashed an upstream once as a suspect.
 func (g *generation) checkCrashes() error {
-	switch g.coordinator.config.Isolator.Verdict(g.fingerprint).(type) {
+	switch g.coordinator.config.Isolator.Verdict(g.fingerprint, time.Now()).(type) {
 	case isolator.Refused:
 		return refuser.New(refuser.Poison, "the request crashed the upstreams that ran it").WithRun(descriptor.RunYes)
 	case isolator.Suspect:
@@ -116,7 +116,7 @@
 	}
 	g.program.settle(cost, g.spentTokens(end, cost))
 	g.program.setUpstream(u.ID)
-	g.coordinator.config.Isolator.RecordSuccess(g.fingerprint)
+	g.coordinator.config.Isolator.Answered(g.fingerprint, time.Now())
 	return true, g.finishCall(end)
 }
 
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -25,6 +25,9 @@
 	// Dropped counts received items that were discarded. The keys are types of items
 	// and reasons, such as "position" for a chunk at an unexpected position.
 	Dropped expvar.Map
+	// Crashes counts reports of requests that upstreams ran when they ended. The keys are
+	// what happened to a report (CrashReport).
+	Crashes expvar.Map
 
 	mu sync.Mutex
 	// times holds the durations of single requests in microseconds.
@@ -49,6 +52,19 @@
 	RetryFailed        Retry = "failed"   // the upstream ran the request and replied with an error status
 )
 
+// CrashReport is the metrics label for what happened to a report of a crash.
+type CrashReport string
+
+// What happens to reports of crashes.
+const (
+	CrashSuspected CrashReport = "suspected" // this host saw that an upstream ended under a request
+	CrashLearned   CrashReport = "learned"   // another host reported it, or withdrew a report
+	CrashWithdrawn CrashReport = "withdrawn" // an upstream answered the request later
+)
+
+// Crash counts a report of a crash.
+func (s *Set) Crash(r CrashReport) { s.Crashes.Add(string(r), 1) }
+
 // Stage is the metrics label for a step in the processing of a call.
 type Stage string
 
@@ -172,6 +188,7 @@
 	host.Set("retries", &s.Retries)
 	host.Set("stages", &s.Stages)
 	host.Set("dropped", &s.Dropped)
+	host.Set("crashes", &s.Crashes)
 	host.Set("programs", s.Programs())
 	host.Set("times", s.Times())
 	_, err := fmt.Fprintf(w, "{%s: %s", strconv.Quote("citronpier"), host.String())
--- a/entry.go
+++ b/entry.go
@@ -22,6 +22,7 @@
 	"github.com/citronpier/citronpier/forwarder"
 	"github.com/citronpier/citronpier/gossiper"
 	"github.com/citronpier/citronpier/internal/waiter"
+	"github.com/citronpier/citronpier/isolator"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/navigator"
 	"github.com/citronpier/citronpier/refuser"
@@ -107,6 +108,7 @@
 	keeper    *keeper.Keeper
 	navigator *navigator.Navigator
 	exchanger *exchanger.Exchanger
+	isolator  *isolator.Isolator
 	forwarder *forwarder.Forwarder
 	peers     peerClients
 	members   memberCache
@@ -125,7 +127,7 @@
 	if c.Grace == 0 {
 		c.Grace = defaultGrace
 	}
-	e := &Entry{config: c, incarnation: rand.Text(), started: time.Now()}
+	e := &Entry{config: c, incarnation: rand.Text(), started: time.Now(), isolator: isolator.New(crashPolicy)}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.config.Logger = c.Logger.With().Str("host", c.Host.ID).Logger()
 	e.relayer = relayer.New(relayer.Config{
@@ -141,7 +143,8 @@
 		Logger:         e.config.Logger,
 	})
 	e.gossiper = gossiper.New(gossiper.Config{
-		Conn: c.Gossip, Self: e.member, Running: e.running, Changed: e.membersChanged, Logger: e.config.Logger,
+		Conn: c.Gossip, Self: e.member, Running: e.running, Crashes: crashStore{e.isolator, &e.counters},
+		Changed: e.membersChanged, Logger: e.config.Logger,
 	}, e.started)
 	e.navigator = navigator.New(navigator.Config{
 		Self: c.Host.ID, View: e.homes, Live: e.hostAlive, Open: e.homeClient, Counters: &e.counters, Logger: e.config.Logger,
@@ -169,6 +172,8 @@
 		Upstreams:     e.watcher.List,
 		RemoteLoads:   e.remoteLoads,
 		Drain:         c.Drain,
+		Isolator:      e.isolator,
+		ReportCrash:   e.reportCrash,
 		Homes:         e.navigator,
 		Exchanger:     e.exchanger,
 		Tracker:       &e.tracker,
@@ -324,6 +329,7 @@
 			e.exchanger.Prune(list.Listed, now)
 			e.tracker.Prune(list.Listed)
 		}
+		e.forwarder.ConfirmCrashes(now)
 		e.limitConnections(now)
 		if e.Ready() {
 			once.Do(func() {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -4,13 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 )
@@ -154,12 +151,6 @@
 	return nil, err
 }
 
-// isConnectionClosed reports whether err means that the upstream closed or reset
-// the connection.
-func isConnectionClosed(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)
-}
-
 // exchangeWithDeadline sends a request and returns the response. If the header of the
 // response does not arrive within a.HeaderTimeout, it aborts the exchange and returns
 // an *IncompleteError that wraps a *HeaderTimeoutError. An error which reports that
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -35,6 +35,11 @@
 	incarnation int64
 }
 
+// keyOf returns the key of an upstream's present incarnation.
+func keyOf(u descriptor.Upstream) incarnationKey {
+	return incarnationKey{address: u.Address, id: u.ID, incarnation: u.Incarnation}
+}
+
 // pool is the connection pool of an Exchanger. Its dial and stats must be set; no
 // connection limit applies until setLimit is called.
 type pool struct {
@@ -73,7 +78,7 @@
 // acquire returns an idle connection that is safe to use, or opens a new one. It
 // closes idle connections that are too old or have received unexpected input.
 func (p *pool) acquire(ctx context.Context, u descriptor.Upstream, now time.Time) (*conn, error) {
-	k := incarnationKey{address: u.Address, id: u.ID, incarnation: u.Incarnation}
+	k := keyOf(u)
 	for {
 		c, found, err := p.takeIdleOrReserve(k)
 		if err != nil {
@@ -97,7 +102,7 @@
 	p := &e.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[incarnationKey{address: u.Address, id: u.ID, incarnation: u.Incarnation}]
+	idle := p.idle[keyOf(u)]
 	if len(idle) == 0 {
 		return false
 	}
@@ -117,14 +122,20 @@
 		p.idle[k] = idle[:len(idle)-1]
 		return c, true, nil
 	}
+	return nil, false, p.reserve(k)
+}
+
+// reserve counts a new connection towards the limit. It returns a *ConnectionLimitError if
+// the limit is reached. The caller must hold mu.
+func (p *pool) reserve(k incarnationKey) error {
 	if p.limit > 0 && p.open[k] >= p.limit {
-		return nil, false, &ConnectionLimitError{Limit: p.limit}
+		return &ConnectionLimitError{Limit: p.limit}
 	}
 	if p.open == nil {
 		p.open = make(map[incarnationKey]int)
 	}
 	p.open[k]++
-	return nil, false, nil
+	return nil
 }
 
 // openConn opens a connection that takeIdleOrReserve has already counted.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -109,6 +109,8 @@
 // err is the error that stopped the reading, or nil if the response is complete.
 func (e *exchange) closeResponse(ctx context.Context, response *exchanger.Response, err error) {
 	response.Close()
+	now := time.Now()
+	e.examineLoss(ctx, e.upstream, err, now)
 	r := resultOK
 	var sinkFailure *sinkError
 	switch {
@@ -123,7 +125,7 @@
 	case response.Status >= http.StatusInternalServerError:
 		r = e.resultOfServerError()
 	}
-	e.config.Tracker.end(e.inFlight, r, time.Now())
+	e.config.Tracker.end(e.inFlight, r, now)
 }
 
 // deliver sends a response to the caller: first body, which was read already, and
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -158,6 +158,9 @@
 			return nil, o
 		}
 		now := time.Now()
+		if o := e.quarantined(now); o != nil {
+			return nil, o
+		}
 		chosen, ok := e.pickUpstream(now)
 		if !ok {
 			return nil, e.noUpstreamOutcome()
@@ -187,7 +190,9 @@
 		HeaderTimeout: e.headerTimeout(now),
 	}, now)
 	if err != nil {
-		e.config.Tracker.end(e.inFlight, e.resultOfSendError(ctx, err), time.Now())
+		failed := time.Now()
+		e.config.Tracker.end(e.inFlight, e.resultOfSendError(ctx, err), failed)
+		e.examineLoss(ctx, u, err, failed)
 		return nil, err
 	}
 	e.config.Tracker.recordResponseStart(e.inFlight, time.Now())
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/forwarder"
+	"github.com/citronpier/citronpier/isolator"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/watcher"
 )
@@ -289,6 +290,7 @@
 		Services: map[string]descriptor.Service{"s": {Name: "s", TokensPerEvent: 18}},
 	}
 	f.forwarder = forwarder.New(forwarder.Config{
+		Isolator: isolator.New(isolator.Policy{Crashes: 3, Overlapping: 2, Quarantine: time.Minute}), ReportCrash: func(isolator.Report) {},
 		Shards:        4,
 		Configuration: func() descriptor.Configuration { return configuration },
 		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
@@ -375,3 +377,11 @@
 		return "nothing", ""
 	}
 }
+
+// endUpstream returns a script that ends the upstream with the given name.
+func (f *fixture) endUpstream(name string) script {
+	return func(net.Conn, *http.Request) bool {
+		f.crash(name)
+		return false
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -59,12 +59,16 @@
 	RemoteLoads func(now time.Time) map[uint64]UpstreamLoad
 	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
 	// known.
-	Drain     time.Duration
-	Homes     HomeClient
-	Exchanger *exchanger.Exchanger
-	Tracker   *UpstreamTracker
-	Counters  *counter.Set
-	Logger    zerolog.Logger
+	Drain time.Duration
+	// Isolator counts the upstreams that each request crashed, and ReportCrash tells other
+	// hosts what this one has counted.
+	Isolator    *isolator.Isolator
+	ReportCrash func(r isolator.Report)
+	Homes       HomeClient
+	Exchanger   *exchanger.Exchanger
+	Tracker     *UpstreamTracker
+	Counters    *counter.Set
+	Logger      zerolog.Logger
 	// Background is the context of work that continues after a request has ended. It
 	// ends when the host stops.
 	Background context.Context
@@ -76,6 +80,8 @@
 	// chains caches the chain of each turn that this host has recorded or continued,
 	// by turn id. A chain is the text of a turn and of all turns before it.
 	chains *lru.Cache[string, []byte]
+	// losses has the lost requests whose upstreams may have ended.
+	losses *lossQueue
 }
 
 const (
@@ -102,7 +108,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Forwarder{config: c, chains: chains}
+	return &Forwarder{config: c, chains: chains, losses: &lossQueue{}}
 }
 
 // retryAfterStarting is the delay after which a caller should retry while the host is
@@ -115,7 +121,11 @@
 func (f *Forwarder) Serve(ctx context.Context, r descriptor.Request, sink Sink, now time.Time) Outcome {
 	e := &exchange{Forwarder: f, request: r, fingerprint: isolator.NewRequestFingerprint(r), sink: sink, began: now}
 	outcome := f.serve(ctx, e, now)
-	f.recordOutcome(e, outcome, time.Now())
+	ended := time.Now()
+	if _, answered := outcome.(Answered); answered {
+		f.clearSuspicion(e.fingerprint, ended)
+	}
+	f.recordOutcome(e, outcome, ended)
 	return outcome
 }
 
@@ -132,6 +142,9 @@
 		return refused(refuser.New(refuser.Route, "no route for host %q and this path", e.request.Host))
 	}
 	e.route = route
+	if o := e.quarantined(now); o != nil {
+		return o
+	}
 	e.service = c.Services[route.Service(splitFraction(e.request))]
 	if e.service.Name == "" {
 		return refused(refuser.New(refuser.Capacity, "route %s names no service", route.Name).WithRetry(retryAfterStarting))
--- a/forwarder/resume_test.go
+++ b/forwarder/resume_test.go
@@ -14,6 +14,7 @@
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/forwarder"
+	"github.com/citronpier/citronpier/isolator"
 	"github.com/citronpier/citronpier/watcher"
 )
 
@@ -106,6 +107,7 @@
 				WithUpstream(f.upstreamOf(t, "x0", "x", "v1", streamEvents(0)), 1, time.Now())
 			split := c.split
 			f.forwarder = forwarder.New(forwarder.Config{
+				Isolator: isolator.New(isolator.Policy{Crashes: 3, Overlapping: 2, Quarantine: time.Minute}), ReportCrash: func(isolator.Report) {},
 				Shards: 4,
 				Configuration: func() descriptor.Configuration {
 					return descriptor.Configuration{
--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -32,9 +32,18 @@
 	// changes counts the changes of the state of other hosts.
 	changes int64
 
-	table  Table
-	news   newsQueue
-	random *rand.Rand
+	table Table
+	// news holds the states of hosts that are still to be spread, by address, and crashes
+	// the reports of crashes, by fingerprint and crash.
+	news    queue[*messenger.Member]
+	crashes queue[*messenger.Crash]
+	// newsRounds is the number of rounds of news that are due even if nothing is to be
+	// spread, and newsSentAt is when the last round was sent.
+	newsRounds int
+	newsSentAt time.Time
+	// crashStore keeps the reports of crashes; nil if none are exchanged.
+	crashStore CrashStore
+	random     *rand.Rand
 	// probes holds the unanswered pings by their number, and lastProbe is the number of
 	// the newest.
 	probes    map[uint64]*probe
@@ -102,7 +111,7 @@
 // ignored.
 func (d *Detector) SetSelf(m *messenger.Member, config int64) {
 	if config != d.config {
-		d.news.rounds = configRounds
+		d.newsRounds = configRounds
 	}
 	d.config = config
 	m = proto.CloneOf(m)
@@ -117,7 +126,7 @@
 func (d *Detector) raise(m *messenger.Member, above uint64) {
 	m.Version = above + 1
 	d.self = m
-	d.news.add(m, d.table.Len())
+	d.news.add(m.GetAddress(), m, d.table.Len())
 }
 
 // SetLoad replaces the requests that this host has in flight at upstreams.
@@ -187,7 +196,7 @@
 	d.table = table
 	d.changes += int64(len(changed))
 	for _, m := range changed {
-		d.news.add(m, table.Len())
+		d.news.add(m.GetAddress(), m, table.Len())
 	}
 }
 
@@ -201,7 +210,7 @@
 // sample returns news and the state of one random live host for a datagram that is
 // sent anyway, so that a state that was missed as news arrives all the same.
 func (d *Detector) sample() []*messenger.Member {
-	members := d.news.take()
+	members := d.news.take(maxMembersBytes)
 	if live := d.table.Live(); len(live) > 0 && len(members) == 0 {
 		members = append(members, live[d.random.IntN(len(live))])
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -25,6 +25,8 @@
 	Self func() (*messenger.Member, int64)
 	// Running returns the requests that this host has in flight at upstreams.
 	Running func(now time.Time) []*messenger.Running
+	// Crashes keeps the reports of crashes of this host and others; nil if none are exchanged.
+	Crashes CrashStore
 	// Changed is called after the state of another host has changed: the host has become
 	// live, is no longer live, has restarted, has become ready or unready, or has started
 	// to leave; and after another host has told of a newer configuration.
@@ -52,7 +54,9 @@
 	self, _ := c.Self()
 	self.Version = uint64(now.UnixMilli())
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &Gossiper{config: c, detector: NewDetector(self, random)}
+	detector := NewDetector(self, random)
+	detector.keepCrashes(c.Crashes)
+	return &Gossiper{config: c, detector: detector}
 }
 
 // Table returns a snapshot of the known hosts.
@@ -128,6 +132,14 @@
 	})
 }
 
+// ReportCrash tells other hosts of a report of this host.
+func (g *Gossiper) ReportCrash(c *messenger.Crash, now time.Time) {
+	g.update(func(d *Detector) []Envelope {
+		d.ReportCrash(c)
+		return d.Flush(now)
+	})
+}
+
 // update lets the detector decide, sends its datagrams and calls Config.Changed if the
 // state of other hosts changed.
 func (g *Gossiper) update(decide func(*Detector) []Envelope) {
--- a/gossiper/probe.go
+++ b/gossiper/probe.go
@@ -162,5 +162,6 @@
 	m := d.message(messenger.Gossip_PING)
 	m.Probe = d.lastProbe
 	m.Members = d.sample()
+	m.Crashes = d.sampleCrashes(now)
 	return m
 }
--- a/gossiper/receive.go
+++ b/gossiper/receive.go
@@ -21,10 +21,11 @@
 	d.configs[sender.GetAddress()] = m.GetConfig()
 	d.newestConfig = max(d.newestConfig, m.GetConfig())
 	d.apply(d.refuteOwn(append(m.GetMembers(), sender)), now)
+	d.learnCrashes(m.GetCrashes(), now)
 	out := d.correct(sender)
 	switch m.GetKind() {
 	case messenger.Gossip_PING:
-		out = append(out, d.answer(m)...)
+		out = append(out, d.answer(m, now)...)
 	case messenger.Gossip_INDIRECT:
 		ping := d.message(messenger.Gossip_PING)
 		ping.Probe, ping.Origin = m.GetProbe(), sender.GetAddress()
@@ -69,15 +70,17 @@
 }
 
 // answer returns the answer to a ping. A host that joins also gets the state of all
-// members.
-func (d *Detector) answer(ping *messenger.Gossip) []Envelope {
+// members and all reports of crashes.
+func (d *Detector) answer(ping *messenger.Gossip, now time.Time) []Envelope {
 	to := ping.GetSender().GetAddress()
 	ack := d.message(messenger.Gossip_ACK)
 	ack.Probe, ack.Origin = ping.GetProbe(), ping.GetOrigin()
-	ack.Members = d.news.take()
+	ack.Members = d.news.take(maxMembersBytes)
+	ack.Crashes = d.crashes.take(maxCrashBytes)
 	out := []Envelope{{To: to, Message: ack}}
 	if ping.GetJoin() {
 		out = append(out, d.allMembers(to)...)
+		out = append(out, d.allCrashes(to, now)...)
 	}
 	return out
 }
--- a/host.go
+++ b/host.go
@@ -50,6 +50,9 @@
 	priorityRules       = 100
 )
 
+// crashesToRefuse is the number of upstreams that a request may crash before it is refused.
+const crashesToRefuse = 2
+
 // A Host is an entry host that keeps its state in the platform's log.
 type Host struct {
 	settings settings
@@ -120,7 +123,7 @@
 	if err != nil {
 		return fmt.Errorf("token keys: %w", err)
 	}
-	crashes := isolator.New()
+	crashes := isolator.New(isolator.Policy{Crashes: crashesToRefuse})
 	h.createReplayers(crashes)
 	h.committer = committer.New(h.settings.log, h.state, stateStream, h.incarnation, h.settings.logger)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -2,18 +2,52 @@
 
 import (
 	"slices"
+	"sync"
+	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/citronpier/citronpier/recorder"
 )
 
-// crashesToRefuse is the number of counted crashes after which a request is
-// refused.
-const crashesToRefuse = 2
+// Policy sets when a request is refused.
+type Policy struct {
+	// Crashes is the number of crashes, one after the other, after which a request is
+	// refused.
+	Crashes int
+	// Overlapping is the number of crashes that count as one if the request ran at these
+	// upstreams at the same time, as they may have ended together for another reason; 0
+	// counts as 1.
+	Overlapping int
+	// Quarantine is how long a crash counts after it was seen; 0 means until the request
+	// is answered.
+	Quarantine time.Duration
+}
+
+const (
+	// maxSuspects is the number of requests whose crashes are kept.
+	maxSuspects = 4096
+	// maxAnswered is the number of answered requests that are kept, and answeredAge how long
+	// an answered request is above suspicion: requests of equal content, such as polls of
+	// one status, are under way at many upstreams, which may end together.
+	maxAnswered = 4096
+	answeredAge = time.Minute
+)
 
-// maxFingerprints is the size of the LRU cache of fingerprints with crashes.
-const maxFingerprints = 1 << 16
+// Report states that an upstream ended while it ran a request. Of reports of one fingerprint
+// and one crash the first counts, and a withdrawn one replaces the others, so that hosts can
+// exchange them in any order.
+type Report struct {
+	Fingerprint Fingerprint
+	// Crash identifies the end of one upstream. Requests that it ran together have
+	// reports of the same crash.
+	Crash string
+	// Ran is how long the request had run when its response was lost, and Ago how long ago
+	// that was.
+	Ran, Ago time.Duration
+	// Withdrawn is true once the request turned out not to have caused the crash.
+	Withdrawn bool
+}
 
 // Verdict tells whether and how a request may run: Clear, Suspect or Refused.
 type Verdict interface{ verdict() }
@@ -21,65 +55,212 @@
 // Clear means that no crash is known for the request.
 type Clear struct{}
 
-// Suspect means that one upstream crashed while it was running the request. No
-// other suspect should run on the same upstream at the same time.
+// Suspect means that upstreams ended while they ran the request, but too few to refuse it.
+// No other suspect should run on the same upstream at the same time.
 type Suspect struct{}
 
-// Refused means that the request crashed upstreams repeatedly and must not run
-// again.
-type Refused struct{}
+// Refused means that the request crashed upstreams repeatedly and must not run again.
+type Refused struct {
+	// Crashes is the number of counted crashes.
+	Crashes int
+	// Until is when the verdict lapses. It is zero if it doesn't.
+	Until time.Time
+}
 
 func (Clear) verdict()   {}
 func (Suspect) verdict() {}
 func (Refused) verdict() {}
 
-// An Isolator counts the crashes that each request caused. Its methods may be
-// called by several goroutines.
+// An Isolator counts the crashes that each request caused. It is safe for concurrent use.
 type Isolator struct {
-	// crashes holds, for each fingerprint, the ids of the attempts during which
-	// an upstream crashed.
-	crashes *lru.Cache[Fingerprint, []string]
+	policy Policy
+
+	mu sync.Mutex
+	// suspects holds, for each fingerprint, the crashes at which the request ran.
+	suspects *lru.Cache[Fingerprint, map[string]sighting]
+	// answered has when each request was last answered.
+	answered *lru.Cache[Fingerprint, time.Time]
+}
+
+// sighting is what is known of one request at one crash.
+type sighting struct {
+	// beganAt is when the upstream was sent the request, and endedAt when the response was
+	// lost.
+	beganAt, endedAt time.Time
+	withdrawn        bool
 }
 
 // New returns an Isolator without recorded crashes.
-func New() *Isolator {
-	cache, err := lru.New[Fingerprint, []string](maxFingerprints)
+func New(p Policy) *Isolator {
+	suspects, err := lru.New[Fingerprint, map[string]sighting](maxSuspects)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	answered, err := lru.New[Fingerprint, time.Time](maxAnswered)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Isolator{crashes: cache}
+	return &Isolator{policy: p, suspects: suspects, answered: answered}
 }
 
 // Verdict returns the verdict on the request with fingerprint f.
-func (i *Isolator) Verdict(f Fingerprint) Verdict {
-	crashes, _ := i.crashes.Get(f)
-	switch {
-	case len(crashes) >= crashesToRefuse:
-		return Refused{}
-	case len(crashes) > 0:
+func (i *Isolator) Verdict(f Fingerprint, now time.Time) Verdict {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	crashes := i.counted(f, now)
+	if len(crashes) == 0 {
+		return Clear{}
+	}
+	var caused []sighting
+	var newest time.Time
+	for crash, s := range crashes {
+		if s.endedAt.After(newest) {
+			newest = s.endedAt
+		}
+		if !i.explained(f, crash, len(crashes), now) {
+			caused = append(caused, s)
+		}
+	}
+	if max(successive(caused), len(caused)/max(1, i.policy.Overlapping)) < i.policy.Crashes {
 		return Suspect{}
 	}
-	return Clear{}
+	verdict := Refused{Crashes: len(caused)}
+	if i.policy.Quarantine > 0 {
+		verdict.Until = newest.Add(i.policy.Quarantine)
+	}
+	return verdict
+}
+
+// successive returns the largest number of crashes of which each request was sent after the
+// one before had ended.
+func successive(crashes []sighting) int {
+	slices.SortFunc(crashes, func(a, b sighting) int { return a.endedAt.Compare(b.endedAt) })
+	count := 0
+	var last time.Time
+	for _, s := range crashes {
+		if count == 0 || s.beganAt.After(last) {
+			count++
+			last = s.endedAt
+		}
+	}
+	return count
+}
+
+// counted returns the crashes of a request that are not withdrawn and have not lapsed. The
+// caller must hold mu.
+func (i *Isolator) counted(f Fingerprint, now time.Time) map[string]sighting {
+	all, ok := i.suspects.Peek(f)
+	if !ok {
+		return nil
+	}
+	counted := make(map[string]sighting, len(all))
+	for crash, s := range all {
+		if !s.withdrawn && !i.lapsed(s, now) {
+			counted[crash] = s
+		}
+	}
+	return counted
 }
 
-// RecordCrash records that an upstream crashed while an attempt of the request was in
+func (i *Isolator) lapsed(s sighting, now time.Time) bool {
+	return i.policy.Quarantine > 0 && now.Sub(s.endedAt) > i.policy.Quarantine
+}
+
+// explained reports whether another request that ran at a crash has more crashes than f,
+// which ran at the given number of crashes: then that request caused the crash. The caller
+// must hold mu.
+func (i *Isolator) explained(f Fingerprint, crash string, crashes int, now time.Time) bool {
+	for _, other := range i.suspects.Keys() {
+		if other == f {
+			continue
+		}
+		others, _ := i.suspects.Peek(other)
+		if s, ran := others[crash]; !ran || s.withdrawn || len(others) <= crashes {
+			continue
+		}
+		if len(i.counted(other, now)) > crashes {
+			return true
+		}
+	}
+	return false
+}
+
+// Learn records a report, of this host or another one, and returns the report to tell other
+// hosts: the same, or its withdrawal if the request is above suspicion here. It returns
+// false if this is known.
+func (i *Isolator) Learn(r Report, now time.Time) (Report, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if answeredAt, ok := i.answered.Peek(r.Fingerprint); ok && now.Sub(answeredAt) < answeredAge {
+		r.Withdrawn = true
+	}
+	return r, i.record(r, now)
+}
+
+// record records a report. It returns false if the report is known. The caller must hold mu.
+func (i *Isolator) record(r Report, now time.Time) bool {
+	crashes, ok := i.suspects.Get(r.Fingerprint)
+	if !ok {
+		crashes = make(map[string]sighting)
+		i.suspects.Add(r.Fingerprint, crashes)
+	}
+	known, ok := crashes[r.Crash]
+	if ok && (known.withdrawn || !r.Withdrawn) {
+		return false
+	}
+	if !ok {
+		known.endedAt = now.Add(-r.Ago)
+		known.beganAt = known.endedAt.Add(-r.Ran)
+	}
+	known.withdrawn = r.Withdrawn
+	crashes[r.Crash] = known
+	return true
+}
+
+// Answered records that an upstream answered a request, which therefore crashes no
+// upstreams. It returns the reports that this withdraws, for other hosts.
+func (i *Isolator) Answered(f Fingerprint, now time.Time) []Report {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.answered.Add(f, now)
+	var withdrawn []Report
+	for crash := range i.counted(f, now) {
+		r := Report{Fingerprint: f, Crash: crash, Withdrawn: true}
+		i.record(r, now)
+		withdrawn = append(withdrawn, r)
+	}
+	return withdrawn
+}
+
+// Reports returns the reports that count, of at most the given number of requests.
+func (i *Isolator) Reports(most int, now time.Time) []Report {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var reports []Report
+	fingerprints := i.suspects.Keys()
+	for _, f := range fingerprints[max(0, len(fingerprints)-most):] {
+		for crash, s := range i.counted(f, now) {
+			reports = append(reports, Report{
+				Fingerprint: f, Crash: crash, Ran: s.endedAt.Sub(s.beganAt), Ago: now.Sub(s.endedAt),
+			})
+		}
+	}
+	return reports
+}
+
+// RecordCrash records that an upstream crashed while an attempt of a request was in
 // flight. Repeated reports of the same attempt count once. After the first crash,
 // another crash counts only if the request ran alone, as the only suspect on that
 // upstream. Without this rule a harmless request could be refused: programs often
 // send the same request several times, and upstreams may crash together for
 // another reason.
 func (i *Isolator) RecordCrash(f Fingerprint, attempt string, alone bool) {
-	crashes, _ := i.crashes.Get(f)
-	if slices.Contains(crashes, attempt) || (len(crashes) > 0 && !alone) {
+	if _, clear := i.Verdict(f, time.Time{}).(Clear); !clear && !alone {
 		return
 	}
-	i.crashes.Add(f, append(slices.Clone(crashes), attempt))
+	i.Learn(Report{Fingerprint: f, Crash: attempt}, time.Time{})
 }
 
-// RecordSuccess records that an upstream answered the request, and clears the crashes
-// recorded for it.
-func (i *Isolator) RecordSuccess(f Fingerprint) { i.crashes.Remove(f) }
-
 // Apply records the crash that a Poison record of the log reports, and ignores
 // other records. The log's replica on each host calls it for every record, so that
 // a request which crashed upstreams is refused on every host.
@@ -89,6 +270,6 @@
 	}
 }
 
-// Prune does nothing when the log is trimmed: maxFingerprints bounds the recorded
-// crashes instead.
+// Prune does nothing when the log is trimmed: maxSuspects bounds the recorded crashes
+// instead.
 func (i *Isolator) Prune(int64) {}
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -45,6 +45,7 @@
 	Turn       Reason = "turn"        // the turn that the request continues is not stored
 	Capacity   Reason = "capacity"    // no upstream can take the request now
 	Resume     Reason = "resume"      // the stream to resume was begun by an unknown version, or by one that no upstream runs
+	Quarantine Reason = "quarantine"  // upstreams ended while they ran earlier attempts of the request; not run for a time
 	Late       Reason = "late"        // the deadline passed before any upstream could have run the request
 	Timeout    Reason = "timeout"     // the deadline passed after an upstream may have begun to run the request
 )
@@ -95,6 +96,7 @@
 	Turn:       http.StatusNotFound,
 	Capacity:   http.StatusServiceUnavailable,
 	Resume:     http.StatusServiceUnavailable,
+	Quarantine: http.StatusServiceUnavailable,
 	Late:       http.StatusServiceUnavailable,
 	Timeout:    http.StatusGatewayTimeout,
 }
--- a/watcher/list.go
+++ b/watcher/list.go
@@ -170,6 +170,13 @@
 // IsUsable reports whether the upstream with the given id may be sent new requests.
 func (l List) IsUsable(id string, now time.Time) bool { return l.entries[id].usable(now) }
 
+// Current returns an upstream as it last published itself, and whether it is listed: known
+// and not removed.
+func (l List) Current(id string) (u descriptor.Upstream, listed bool) {
+	e, ok := l.entries[id]
+	return e.upstream, ok && !e.removed
+}
+
 // Listed reports whether the upstream with the given id is known and not removed;
 // it may be leaving.
 func (l List) Listed(id string) bool {
