Keep requests that crash upstreams refused when all hosts have died

What callers saw: each time that all hosts die, a request that was refused may crash three more upstreams.

Cause: the reports of crashes were in the memory of hosts only.

Evidence: 'all hosts die again and again' of TestCrashingRequestKeepsReachingUpstreams: 15 arrivals, 9 of them late, without the read at the start; 6 and none with it.

Change: the host that counts the last crash records the reports in a keyed topic; hosts read it once at their start, and delete what has lapsed.

--- a/challenger/crash_test.go
+++ b/challenger/crash_test.go
@@ -55,6 +55,11 @@
 	{name: "other programs", request: func(id string) descriptor.Request { return turnRequest(id, "crash"+id, "", crashText) }, atOnce: 1},
 	{name: "one host dies", request: crashingTurn, atOnce: 1, fault: func(fx *fixture) { fx.kill(fx.live()[0]) }},
 	{name: "all hosts die", request: crashingTurn, atOnce: 1, fault: func(fx *fixture) { fx.kill(fx.live()...) }},
+	{name: "all hosts die again and again", request: crashingTurn, atOnce: 1, fault: func(fx *fixture) {
+		for i := range 4 {
+			fx.schedule(time.Duration(i)*4*restartDelay, func() { fx.kill(fx.live()...) })
+		}
+	}},
 	{name: "a host stands still", request: crashingCall("/once/x"), atOnce: 1, fault: func(fx *fixture) { fx.pause(fx.live()[0]) }},
 	{name: "heartbeats are lost", request: crashingCall("/once/x"), atOnce: 1, fault: func(fx *fixture) { fx.loseHeartbeats(fx.live()[0]) }},
 	{name: "store is down", request: crashingTurn, atOnce: 1, fault: func(fx *fixture) { fx.storeFault(faults{down: true}) }},
--- a/challenger/fixture_test.go
+++ b/challenger/fixture_test.go
@@ -39,6 +39,7 @@
 	configurations = connector.Partition{Topic: "configurations"}
 	upstreams      = connector.Partition{Topic: "upstreams"}
 	hostList       = connector.Partition{Topic: "hosts"}
+	quarantines    = connector.Partition{Topic: "quarantines"}
 	shards         = []connector.Partition{{Topic: "turns", Part: 0}, {Topic: "turns", Part: 1}}
 )
 
--- a/challenger/process_test.go
+++ b/challenger/process_test.go
@@ -94,6 +94,7 @@
 		Configurations: configurations,
 		Upstreams:      upstreams,
 		Hosts:          hostList,
+		Quarantines:    quarantines,
 		Gossip:         packet,
 		Dial:           p.link.Dial,
 		Grace:          4 * time.Second,
--- a/entry.go
+++ b/entry.go
@@ -68,6 +68,9 @@
 	Configurations connector.Partition
 	Upstreams      connector.Partition
 	Hosts          connector.Partition
+	// Quarantines is the keyed partition that holds the requests which are refused because
+	// they crash upstreams.
+	Quarantines connector.Partition
 	// Gossip is the UDP socket for the datagrams of the membership, bound to the peer
 	// address.
 	Gossip net.PacketConn
--- a/entry_crashes.go
+++ b/entry_crashes.go
@@ -1,8 +1,13 @@
 package citronpier
 
 import (
+	"context"
+	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/isolator"
 	"github.com/citronpier/citronpier/messenger"
@@ -46,5 +51,58 @@
 	return &messenger.Crash{Fingerprint: string(r.Fingerprint), Crash: r.Crash, Withdrawn: r.Withdrawn, Ran: r.Ran.Milliseconds(), Ago: r.Ago.Milliseconds()}
 }
 
-// reportCrash tells other hosts of a report of this host.
-func (e *Entry) reportCrash(r isolator.Report) { e.gossiper.ReportCrash(crashMessage(r), time.Now()) }
+// reportCrash tells other hosts of a report of this host. If the report is the one after which
+// the request is refused, it is also recorded, for the case that all hosts die.
+func (e *Entry) reportCrash(r isolator.Report) {
+	now := time.Now()
+	e.gossiper.ReportCrash(crashMessage(r), now)
+	if _, refused := e.isolator.Verdict(r.Fingerprint, now).(isolator.Refused); refused {
+		go e.retry(e.background, func(ctx context.Context) error { return e.recordQuarantine(ctx, r.Fingerprint) })
+	}
+}
+
+// recordQuarantine records in the store that a request is refused.
+func (e *Entry) recordQuarantine(ctx context.Context, f isolator.Fingerprint) error {
+	now := time.Now()
+	record := &messenger.Quarantine{Written: now.UnixMilli()}
+	for _, r := range e.isolator.ReportsOf(f, now) {
+		record.Crashes = append(record.Crashes, crashMessage(r))
+	}
+	value, err := proto.Marshal(record)
+	if err != nil {
+		return fmt.Errorf("encode quarantine: %w", err)
+	}
+	_, err = e.relayer.Append(ctx, e.config.Quarantines, [][]byte{e.config.Codec.EncodeKeyed(string(f), value)}, connector.AnyEnd)
+	return err
+}
+
+// readQuarantines learns the requests that were refused before this host started, and
+// deletes the records of those whose quarantine is over.
+func (e *Entry) readQuarantines(ctx context.Context) error {
+	newest, err := e.relayer.Newest(ctx, e.config.Quarantines)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	var lapsed [][]byte
+	for _, item := range newest.Items {
+		var record messenger.Quarantine
+		if err := proto.Unmarshal(item.Value, &record); err != nil {
+			e.config.Logger.Warn().Err(err).Str("fingerprint", item.Key).Msg("ignoring malformed quarantine")
+			continue
+		}
+		age := now.Sub(time.UnixMilli(record.GetWritten()))
+		if age > crashPolicy.Quarantine {
+			lapsed = append(lapsed, e.config.Codec.EncodeKeyed(item.Key, nil))
+			continue
+		}
+		for _, c := range record.GetCrashes() {
+			c.Ago += max(0, age.Milliseconds())
+			crashStore{e.isolator, &e.counters}.Learn(c, now)
+		}
+	}
+	if len(lapsed) > 0 {
+		_, err = e.relayer.Append(ctx, e.config.Quarantines, lapsed, connector.AnyEnd)
+	}
+	return err
+}
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -204,6 +204,7 @@
 		e.gossiper.AddPeer(seed, now)
 	}
 	go e.awaitPeers(ctx, maxAnswerWait)
+	go e.retry(ctx, e.readQuarantines)
 	e.retry(ctx, e.register)
 	for ctx.Err() == nil {
 		e.retry(ctx, e.readHosts)
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -239,11 +239,23 @@
 	var reports []Report
 	fingerprints := i.suspects.Keys()
 	for _, f := range fingerprints[max(0, len(fingerprints)-most):] {
-		for crash, s := range i.counted(f, now) {
-			reports = append(reports, Report{
-				Fingerprint: f, Crash: crash, Ran: s.endedAt.Sub(s.beganAt), Ago: now.Sub(s.endedAt),
-			})
-		}
+		reports = append(reports, i.reportsOf(f, now)...)
+	}
+	return reports
+}
+
+// ReportsOf returns the reports that count of one request.
+func (i *Isolator) ReportsOf(f Fingerprint, now time.Time) []Report {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.reportsOf(f, now)
+}
+
+// reportsOf implements ReportsOf. The caller must hold mu.
+func (i *Isolator) reportsOf(f Fingerprint, now time.Time) []Report {
+	var reports []Report
+	for crash, s := range i.counted(f, now) {
+		reports = append(reports, Report{Fingerprint: f, Crash: crash, Ran: s.endedAt.Sub(s.beganAt), Ago: now.Sub(s.endedAt)})
 	}
 	return reports
 }
