--- a/challenger/upstream_test.go
+++ b/challenger/upstream_test.go
@@ -32,6 +32,10 @@
 	cutNext bool
 	// ran has the ids of the requests that this incarnation received.
 	ran map[string]bool
+	// limit is the requests a second that the upstream names in its answers; 0 is none.
+	limit float64
+	// arrivals has when each request arrived.
+	arrivals []time.Time
 }
 
 // startUpstream starts an upstream and adds it to the service-discovery list.
@@ -93,9 +97,13 @@
 		u.ran = make(map[string]bool)
 	}
 	u.ran[id] = true
-	cutNext := u.cutNext
+	cutNext, limit := u.cutNext, u.limit
 	u.cutNext = false
+	u.arrivals = append(u.arrivals, time.Now())
 	u.mu.Unlock()
+	if limit > 0 {
+		rw.Header().Set("Limit", fmt.Sprint(limit))
+	}
 	u.crashOn(string(body))
 	rw.Header().Set("Id", id)
 	if strings.HasPrefix(r.URL.Path, "/chat/") {
