Keep the limits that upstreams name, over all hosts together

What callers saw: nothing yet; an upstream in need got up to five times the requests a second that it had named (LIMIT).

Cause: nobody read the limit. The class: a condition that one party states for all is known to one host alone, if at all; keeping it on each host alone breaks it as a sum.

TestNamedLimitOfUpstreamIsExceededByAllHostsTogether failed in six of seven cases.

Change: the exchanger decodes what an upstream says of itself (Notice); the tracker has an allowance for each upstream that names a limit; hosts tell each other their demand with the load reports, and each reckons its part, with one rule for fleets in which each host may save up a request and one for those in which it may not. A request waits a second at most, goes elsewhere, or is refused as not run ('limited').

Ruled out: equal parts (a busy host got 35 of 80 requests that the limit allowed), parts by demand alone (140 hosts sent nothing), parts with one's own newest demand (53 requests where 27 are allowed, in a sudden flood).

Result: the seven cases pass; limiter TestSharesOfALimitExceedItTogether has fleets of 7 to 140 hosts.

--- a/challenger/codec_test.go
+++ b/challenger/codec_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/citronpier/citronpier/descriptor"
@@ -75,3 +76,10 @@
 func (codec) RequestID(h http.Header) string        { return h.Get("Id") }
 func (codec) NotRun(status int, h http.Header) bool { return h.Get("Not-Run") != "" || status == 421 }
 func (codec) HasStamp(http.Header) bool             { return true }
+func (codec) Notice(h http.Header) exchanger.Notice {
+	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	if err != nil {
+		limit = 0
+	}
+	return exchanger.Notice{Limit: limit}
+}
--- a/entry.go
+++ b/entry.go
@@ -146,7 +146,7 @@
 		Logger:         e.config.Logger,
 	})
 	e.gossiper = gossiper.New(gossiper.Config{
-		Conn: c.Gossip, Self: e.member, Running: e.running, Crashes: crashStore{e.isolator, &e.counters},
+		Conn: c.Gossip, Self: e.member, Running: e.running, Demands: e.demands, Crashes: crashStore{e.isolator, &e.counters},
 		Changed: e.membersChanged, Logger: e.config.Logger,
 	}, e.started)
 	e.navigator = navigator.New(navigator.Config{
@@ -174,6 +174,7 @@
 		Configuration: e.watcher.Configuration,
 		Upstreams:     e.watcher.List,
 		RemoteLoads:   e.remoteLoads,
+		RemoteDemand:  e.remoteDemand,
 		Drain:         c.Drain,
 		Isolator:      e.isolator,
 		ReportCrash:   e.reportCrash,
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -6,9 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/forwarder"
+	"github.com/citronpier/citronpier/gossiper"
 	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/locator"
 	"github.com/citronpier/citronpier/messenger"
@@ -37,6 +40,8 @@
 	// percent is 100%: load reports contain percentages, and other code uses shares
 	// from 0 to 1.
 	percent = 100
+	// demandUnit is the number of seconds in which load reports count a demand.
+	demandUnit = 1000
 )
 
 // memberCache caches, for membersMaxAge, what this host computes from the
@@ -51,6 +56,12 @@
 	// loads holds the loads of upstreams, summed over the reports of other hosts,
 	// by the hash of the upstream's ID.
 	loads map[uint64]forwarder.UpstreamLoad
+	// demands holds the requests a second that arrive at other hosts, by the hash of the
+	// service's name and by host.
+	demands map[uint64]map[string]float64
+	// telling is the number of hosts that accept requests and tell this one their loads and
+	// demands, this one included.
+	telling int
 }
 
 // invalidate makes the next read compute the contents again.
@@ -68,6 +79,7 @@
 	}
 	c.builtAt = now
 	c.loads = make(map[uint64]forwarder.UpstreamLoad)
+	c.demands = make(map[uint64]map[string]float64)
 	var homes, callers []descriptor.Host
 	if !e.leaving.Load() {
 		homes = append(homes, e.config.Host)
@@ -79,6 +91,12 @@
 		for _, r := range report.Running {
 			c.loads[r.GetUpstream()] = c.loads[r.GetUpstream()].WithHost(int(r.GetRequests()), float64(r.GetFailing())/percent, float64(r.GetSlow())/percent)
 		}
+		for _, d := range report.Demands {
+			if c.demands[d.GetService()] == nil {
+				c.demands[d.GetService()] = make(map[string]float64)
+			}
+			c.demands[d.GetService()][report.Host] = float64(d.GetRate()) / demandUnit
+		}
 	}
 	for _, m := range e.gossiper.Table().Live() {
 		if m.GetLeaving() {
@@ -101,6 +119,22 @@
 	}
 	c.homes = locator.View{}.WithMembers(descriptor.Members{Hosts: homes})
 	c.callers = locator.View{}.WithMembers(descriptor.Members{Hosts: callers})
+	c.telling = tellingHosts(callers, e.config.Host.DataCentre)
+}
+
+// tellingHosts returns the number of hosts that exchange load reports in a data centre: those
+// of the data centre, or all in a small fleet.
+func tellingHosts(hosts []descriptor.Host, dataCentre string) int {
+	if len(hosts) <= gossiper.ReportFanout+1 {
+		return len(hosts)
+	}
+	near := 0
+	for _, h := range hosts {
+		if h.DataCentre == dataCentre {
+			near++
+		}
+	}
+	return near
 }
 
 // hostOf returns the host that a state describes.
@@ -136,6 +170,28 @@
 	return e.members.loads
 }
 
+// remoteDemand returns what other hosts would send to the upstreams of a service.
+func (e *Entry) remoteDemand(service string, now time.Time) forwarder.RemoteDemand {
+	e.members.mu.Lock()
+	defer e.members.mu.Unlock()
+	e.members.refresh(e, now)
+	return forwarder.RemoteDemand{
+		Self:      e.config.Host.ID,
+		PerSecond: e.members.demands[xxhash.Sum64String(service)],
+		Telling:   e.members.telling,
+		Hosts:     len(e.members.callers.Live(now)),
+	}
+}
+
+// demands returns the requests that arrive at this host for each service, for other hosts.
+func (e *Entry) demands(now time.Time) []*messenger.Demand {
+	var demands []*messenger.Demand
+	for service, perSecond := range e.tracker.Demands(now) {
+		demands = append(demands, &messenger.Demand{Service: xxhash.Sum64String(service), Rate: int64(perSecond * demandUnit)})
+	}
+	return demands
+}
+
 // hostAlive reports whether another host counts as live.
 func (e *Entry) hostAlive(host string) bool {
 	return e.gossiper.Table().Peer(host).Live()
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -39,11 +39,20 @@
 	// NotRun reports whether the status and header of a response state that the
 	// upstream did not run the request, so that a retry is safe.
 	NotRun(status int, h http.Header) bool
+	// Notice returns what an upstream says of itself in the header of a response.
+	Notice(h http.Header) Notice
 	// HasStamp reports whether the header of a response proves that an upstream
 	// ran the request and produced the response.
 	HasStamp(h http.Header) bool
 }
 
+// Notice is what an upstream says of itself in its responses.
+type Notice struct {
+	// Limit is the number of requests a second that the upstream takes from all hosts
+	// together; 0 means that it names none.
+	Limit float64
+}
+
 // NotRunError reports that the upstream answered that it did not run the
 // request. A retry is safe.
 type NotRunError struct {
@@ -51,6 +60,8 @@
 	Upstream string
 	// Status is the HTTP status of the response.
 	Status int
+	// Notice is what the upstream says of itself.
+	Notice Notice
 }
 
 // Error implements the error interface.
@@ -199,7 +210,7 @@
 	requestWritten := writing.hasFinished() && writing.wait().err == nil
 	if e.codec.NotRun(response.StatusCode, response.Header) {
 		c.notReusable = c.misdeliveredSeen || !requestWritten || response.Close || discardBody(response) != nil
-		return nil, &NotRunError{Upstream: u.ID, Status: response.StatusCode}
+		return nil, &NotRunError{Upstream: u.ID, Status: response.StatusCode, Notice: e.codec.Notice(response.Header)}
 	}
 	if response.StatusCode < http.StatusMultipleChoices && !e.codec.HasStamp(response.Header) {
 		return nil, &IncompleteError{Upstream: u.ID, Cause: &NoStampError{Status: response.StatusCode}}
@@ -209,6 +220,7 @@
 		Status:     response.StatusCode,
 		Header:     response.Header,
 		Length:     response.ContentLength,
+		Notice:     e.codec.Notice(response.Header),
 		body:       response.Body,
 		conn:       c,
 		pool:       &e.pool,
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -31,6 +31,7 @@
 func (codec) RequestID(h http.Header) string        { return h.Get("Id") }
 func (codec) NotRun(status int, h http.Header) bool { return h.Get("Not-Run") != "" || status == 421 }
 func (codec) HasStamp(h http.Header) bool           { return h.Get("Unproved") == "" }
+func (codec) Notice(http.Header) exchanger.Notice   { return exchanger.Notice{} }
 
 // upstream is a TCP server whose responses are written by a function of the test.
 type upstream struct {
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -11,6 +11,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Notice is what the upstream says of itself.
+	Notice Notice
 	// Length is the length of the body in bytes; -1 means unknown.
 	Length int64
 
--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -43,6 +43,10 @@
 	tried map[string]bool
 	// remoteLoads has the loads that other hosts report, by the hash of the upstream's id.
 	remoteLoads map[uint64]UpstreamLoad
+	// remoteDemand is what other hosts would send to the upstreams, and maxDelay how long the
+	// request may wait for this host's share of an upstream's limit.
+	remoteDemand RemoteDemand
+	maxDelay     time.Duration
 }
 
 // choice is an upstream that was chosen for a request, and what the choice assumed.
@@ -53,20 +57,35 @@
 	// idle is true if at most half of the upstream's slots are in use, so that the
 	// upstream reads the prompt at once.
 	idle bool
+	// delay is how long the request has to wait before it is sent, as the upstream names a
+	// limit.
+	delay time.Duration
 }
 
 // choose returns the upstream with the lowest expected cost of the request; the cost
-// is a duration. It returns false if all upstreams were tried.
+// is a duration. It returns false if all upstreams were tried, or if the limits that they
+// name allow none for longer than the request may wait; the delay of the choice is then the
+// shortest time in which one does.
 func (t *UpstreamTracker) choose(upstreams []descriptor.Upstream, c choiceInput, now time.Time) (choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	holders := t.holdersOf(c, upstreams, now)
 	var candidates []router.Candidate
+	var shortestDelay time.Duration
 	for _, u := range upstreams {
 		if c.tried[u.ID] {
 			continue
 		}
-		candidates = append(candidates, t.candidate(u, c, holders[u.ID], now))
+		delay, reserves := t.limitDelay(u, c.remoteDemand, now)
+		if delay > c.maxDelay || !reserves {
+			if shortestDelay == 0 || delay < shortestDelay {
+				shortestDelay = delay
+			}
+			continue
+		}
+		candidate := t.candidate(u, c, holders[u.ID], now)
+		candidate.Wait += delay
+		candidates = append(candidates, candidate)
 	}
 	best, ok := router.Choose(candidates, router.Request{
 		Key:        c.request.ID,
@@ -76,10 +95,14 @@
 		Distance:   crossDataCentreCost,
 	})
 	if !ok {
-		return choice{}, false
+		return choice{delay: shortestDelay}, false
 	}
-	inFlight := t.stateOf(best.Upstream).inFlight + c.remoteLoads[t.stateOf(best.Upstream).hash].InFlight
+	state := t.stateOf(best.Upstream)
+	delay, _ := t.limitDelay(best.Upstream, c.remoteDemand, now)
+	t.useAllowance(best.Upstream, c.remoteDemand, now)
+	inFlight := state.inFlight + c.remoteLoads[state.hash].InFlight
 	return choice{
+		delay:    delay,
 		Upstream: best.Upstream,
 		uncached: max(0, c.request.Prompt-best.Cached),
 		idle:     2*inFlight <= best.Upstream.Slots,
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -76,6 +76,8 @@
 	// resumeRetries counts the requests for the rest of an interrupted stream that an
 	// upstream may have run, since the last event.
 	resumeRetries int
+	// shareAwaited is true once the request has waited for this host's part of a limit.
+	shareAwaited bool
 	// generated counts the tokens of the events that were sent to the caller,
 	// including events whose write failed.
 	generated int64
@@ -120,7 +122,19 @@
 	if !ok {
 		return choice{}, false
 	}
-	input := choiceInput{
+	input := e.choiceInput(now)
+	if e.build == (descriptor.Build{}) {
+		return e.config.Tracker.choose(list.Usable(e.service.Name, now), input, now)
+	}
+	if chosen, ok := e.config.Tracker.choose(list.UsableOfBuild(e.build, now), input, now); ok {
+		return chosen, true
+	}
+	return e.config.Tracker.choose(e.leavingUpstreams(list, now), input, now)
+}
+
+// choiceInput returns the inputs to the choice of an upstream.
+func (e *exchange) choiceInput(now time.Time) choiceInput {
+	return choiceInput{
 		request:         e.request,
 		dataCentre:      e.config.DataCentre,
 		sessionUpstream: e.sessionUpstream,
@@ -128,14 +142,9 @@
 		connected:       func(u descriptor.Upstream) bool { return e.config.Exchanger.HasIdle(u, now) },
 		tried:           e.tried,
 		remoteLoads:     e.config.RemoteLoads(now),
+		remoteDemand:    e.config.RemoteDemand(e.service.Name, now),
+		maxDelay:        e.maxDelay(now),
 	}
-	if e.build == (descriptor.Build{}) {
-		return e.config.Tracker.choose(list.Usable(e.service.Name, now), input, now)
-	}
-	if chosen, ok := e.config.Tracker.choose(list.UsableOfBuild(e.build, now), input, now); ok {
-		return chosen, true
-	}
-	return e.config.Tracker.choose(e.leavingUpstreams(list, now), input, now)
 }
 
 // leavingUpstreams returns the upstreams of the stream's build that have begun to leave
@@ -162,10 +171,16 @@
 			return nil, o
 		}
 		chosen, ok := e.pickUpstream(now)
+		if !ok && e.awaitShare(ctx, chosen, now) {
+			continue
+		}
 		if !ok {
-			return nil, e.noUpstreamOutcome()
+			return nil, e.noUpstreamOutcome(chosen.delay)
 		}
-		response, err := e.sendTo(ctx, chosen, after, now)
+		if !e.awaitDelay(ctx, chosen) {
+			continue
+		}
+		response, err := e.sendTo(ctx, chosen, after, time.Now())
 		if err == nil {
 			return response, nil
 		}
@@ -189,6 +204,7 @@
 		LastEventID:   after,
 		HeaderTimeout: e.headerTimeout(now),
 	}, now)
+	e.learnNotice(u, response, err)
 	if err != nil {
 		failed := time.Now()
 		e.config.Tracker.end(e.inFlight, e.resultOfSendError(ctx, err), failed)
@@ -270,11 +286,15 @@
 }
 
 // noUpstreamOutcome returns the outcome of a request for which no untried upstream
-// is left.
-func (e *exchange) noUpstreamOutcome() Outcome {
+// is left. limited is the time until the limits that upstreams name allow a request, or 0.
+func (e *exchange) noUpstreamOutcome(limited time.Duration) Outcome {
 	if e.mayHaveRun {
 		return refused(refuser.New(refuser.Lost, "the answer was lost and no upstream is left").WithRun(descriptor.RunUnknown))
 	}
+	if limited > 0 {
+		return refused(refuser.New(refuser.Limited, "the upstreams of service %s take no more requests now than the limits that they name",
+			e.service.Name).WithRetry(limited))
+	}
 	_, listed := e.config.Upstreams()
 	if listed && len(e.tried) == 0 && e.build != (descriptor.Build{}) {
 		return refused(refuser.New(refuser.Resume, "%w, which began the stream", &NoUpstreamError{Build: e.build}))
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -38,6 +38,8 @@
 
 func (codec) HasStamp(http.Header) bool { return true }
 
+func (codec) Notice(http.Header) exchanger.Notice { return exchanger.Notice{} }
+
 // script answers one request as an upstream and reports whether the connection
 // stays open for further requests.
 type script func(c net.Conn, r *http.Request) bool
@@ -291,6 +293,7 @@
 	}
 	f.forwarder = forwarder.New(forwarder.Config{
 		Isolator: isolator.New(isolator.Policy{Crashes: 3, Overlapping: 2, Quarantine: time.Minute}), ReportCrash: func(isolator.Report) {},
+		RemoteDemand:  func(string, time.Time) forwarder.RemoteDemand { return forwarder.RemoteDemand{Telling: 1, Hosts: 1} },
 		Shards:        4,
 		Configuration: func() descriptor.Configuration { return configuration },
 		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,6 +57,8 @@
 	// RemoteLoads returns the loads that other hosts report of upstreams, by the hash
 	// of the upstream's id.
 	RemoteLoads func(now time.Time) map[uint64]UpstreamLoad
+	// RemoteDemand returns what other hosts would send to the upstreams of a service.
+	RemoteDemand func(service string, now time.Time) RemoteDemand
 	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
 	// known.
 	Drain time.Duration
@@ -149,6 +151,7 @@
 	if e.service.Name == "" {
 		return refused(refuser.New(refuser.Capacity, "route %s names no service", route.Name).WithRetry(retryAfterStarting))
 	}
+	f.config.Tracker.recordArrival(e.service.Name, now)
 	e.deadline = now.Add(route.Timeout)
 	if !e.request.Deadline.IsZero() && e.request.Deadline.Before(e.deadline) {
 		e.deadline = e.request.Deadline
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -85,14 +85,18 @@
 // same upstream if it is usable, and otherwise to another one.
 func (e *exchange) sendForRest(ctx context.Context, last string) (*exchanger.Response, error) {
 	now := time.Now()
-	if same, ok := e.sameUpstream(now); ok && !e.tried[same.ID] {
-		return e.sendTo(ctx, choice{Upstream: same}, last, now)
+	var chosen choice
+	same, ok := e.sameUpstream(now)
+	if ok {
+		chosen, ok = e.config.Tracker.choose([]descriptor.Upstream{same}, e.choiceInput(now), now)
 	}
-	chosen, ok := e.pickUpstream(now)
 	if !ok {
+		chosen, ok = e.pickUpstream(now)
+	}
+	if !ok || !e.awaitDelay(ctx, chosen) {
 		return nil, &NoUpstreamError{Build: e.build}
 	}
-	return e.sendTo(ctx, chosen, last, now)
+	return e.sendTo(ctx, chosen, last, time.Now())
 }
 
 // NoUpstreamError reports that no upstream that was not tried yet runs a build.
--- /dev/null
+++ b/forwarder/limit.go
@@ -0,0 +1,173 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/exchanger"
+	"github.com/citronpier/citronpier/internal/waiter"
+	"github.com/citronpier/citronpier/limiter"
+)
+
+const (
+	// maxLimitDelay is the longest time that a request waits under the limit of an upstream.
+	maxLimitDelay = time.Second
+	// limitDelayDivisor sets which part of its remaining time a request may wait: the
+	// upstream needs the rest.
+	limitDelayDivisor = 3
+)
+
+// RemoteDemand is what other hosts would send to the upstreams of a service.
+type RemoteDemand struct {
+	// Self is the id of this host.
+	Self string
+	// PerSecond has the requests a second of each host that has told, by the host's id.
+	PerSecond map[string]float64
+	// Telling is the number of live hosts that tell this one, itself included, and Hosts the
+	// number of all live hosts.
+	Telling, Hosts int
+}
+
+// recordArrival counts a request for a service.
+func (t *UpstreamTracker) recordArrival(service string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.arrivals == nil {
+		t.arrivals = make(map[string]limiter.Meter)
+	}
+	t.arrivals[service] = t.arrivals[service].WithRequest(now)
+}
+
+// recordNotice keeps what an upstream says of itself in a response. It reports whether the
+// limit that the upstream names has changed.
+func (t *UpstreamTracker) recordNotice(u descriptor.Upstream, n exchanger.Notice, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state, ok := t.upstreams[u.ID]
+	if !ok || state.incarnation != u.Incarnation || state.limit == n.Limit {
+		return false
+	}
+	if state.limit == 0 {
+		state.allowance = limiter.NewAllowance(now)
+	}
+	state.limit = n.Limit
+	return true
+}
+
+const (
+	// minDemand is the lowest demand, in requests a second, that other hosts are told.
+	minDemand = 0.01
+	// toldAfter is the time within which other hosts know a demand that this one tells.
+	toldAfter = 600 * time.Millisecond
+)
+
+// toldDemands holds the demands of a host as the other hosts know them by now, and those that
+// it has told since.
+type toldDemands struct {
+	known, next map[string]float64
+	nextAt      time.Time
+}
+
+// WithDemands returns t after the host has told its present demands.
+func (t toldDemands) WithDemands(demands map[string]float64, now time.Time) toldDemands {
+	if now.Sub(t.nextAt) < toldAfter {
+		return t
+	}
+	return toldDemands{known: t.next, next: demands, nextAt: now}
+}
+
+// Demands returns the requests a second that arrive at this host for each service, to tell
+// other hosts.
+func (t *UpstreamTracker) Demands(now time.Time) map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	demands := make(map[string]float64)
+	for service, meter := range t.arrivals {
+		if perSecond := meter.Rate(now); perSecond >= minDemand {
+			demands[service] = perSecond
+		}
+	}
+	t.told = t.told.WithDemands(demands, now)
+	return demands
+}
+
+// limitDelay returns how long a request to an upstream has to wait for this host's part of
+// the limit that the upstream names, and whether it may be sent then; if not, another choice
+// has to be made then. The caller must hold mu.
+func (t *UpstreamTracker) limitDelay(u descriptor.Upstream, d RemoteDemand, now time.Time) (delay time.Duration, reserves bool) {
+	state := t.stateOf(u)
+	if state.limit == 0 {
+		return 0, true
+	}
+	demand := t.demandFor(u.Service, d)
+	if demand.Untold(state.limit) {
+		return toldAfter, false
+	}
+	return state.allowance.Wait(demand.Rate(u.ID, state.limit), now), true
+}
+
+// useAllowance counts a request to an upstream, if it names a limit. The caller must hold mu.
+func (t *UpstreamTracker) useAllowance(u descriptor.Upstream, d RemoteDemand, now time.Time) {
+	if state := t.stateOf(u); state.limit > 0 {
+		state.allowance = state.allowance.WithRequest(t.demandFor(u.Service, d).Rate(u.ID, state.limit), now)
+	}
+}
+
+// demandFor returns the demands of all hosts for a service. The caller must hold mu.
+func (t *UpstreamTracker) demandFor(service string, d RemoteDemand) limiter.Demand {
+	perSecond := maps.Clone(d.PerSecond)
+	if perSecond == nil {
+		perSecond = make(map[string]float64)
+	}
+	perSecond[d.Self] = t.told.known[service]
+	return limiter.Demand{Self: d.Self, PerSecond: perSecond, Telling: d.Telling, Hosts: d.Hosts}
+}
+
+// maxDelay returns how long the request may wait under the limits of upstreams.
+func (e *exchange) maxDelay(now time.Time) time.Duration {
+	return min(maxLimitDelay, e.remaining(now)/limitDelayDivisor)
+}
+
+// awaitShare waits, once for a request, until other hosts know the demand of this one, if no
+// upstream takes the request before. It returns false if that is not so.
+func (e *exchange) awaitShare(ctx context.Context, rejected choice, now time.Time) bool {
+	if rejected.delay <= 0 || rejected.delay > e.maxDelay(now) || e.shareAwaited {
+		return false
+	}
+	e.shareAwaited = true
+	waiter.Sleep(ctx, rejected.delay)
+	return true
+}
+
+// awaitDelay waits until the request may be sent to the chosen upstream. It returns false if
+// the upstream may not be sent requests any more by then, or if ctx has ended.
+func (e *exchange) awaitDelay(ctx context.Context, chosen choice) bool {
+	if chosen.delay <= 0 {
+		return true
+	}
+	waiter.Sleep(ctx, chosen.delay)
+	list, _ := e.config.Upstreams()
+	return ctx.Err() == nil && list.IsUsable(chosen.ID, time.Now())
+}
+
+// learnNotice keeps what an upstream said of itself in a response, or in the refusal err.
+func (e *exchange) learnNotice(u descriptor.Upstream, response *exchanger.Response, err error) {
+	var notice exchanger.Notice
+	var notRun *exchanger.NotRunError
+	switch {
+	case response != nil:
+		notice = response.Notice
+	case errors.As(err, &notRun) && notRun.Status != http.StatusMisdirectedRequest:
+		notice = notRun.Notice
+	default:
+		return
+	}
+	if e.config.Tracker.recordNotice(u, notice, time.Now()) {
+		e.config.Logger.Info().Str("id", e.request.ID).Str("upstream", u.ID).Str("service", u.Service).
+			Float64("limit", notice.Limit).Msg("upstream names another limit")
+	}
+}
--- a/forwarder/resume_test.go
+++ b/forwarder/resume_test.go
@@ -108,7 +108,8 @@
 			split := c.split
 			f.forwarder = forwarder.New(forwarder.Config{
 				Isolator: isolator.New(isolator.Policy{Crashes: 3, Overlapping: 2, Quarantine: time.Minute}), ReportCrash: func(isolator.Report) {},
-				Shards: 4,
+				RemoteDemand: func(string, time.Time) forwarder.RemoteDemand { return forwarder.RemoteDemand{Telling: 1, Hosts: 1} },
+				Shards:       4,
 				Configuration: func() descriptor.Configuration {
 					return descriptor.Configuration{
 						Version: 1,
--- a/forwarder/tracker.go
+++ b/forwarder/tracker.go
@@ -9,6 +9,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/limiter"
 	"github.com/citronpier/citronpier/placer"
 )
 
@@ -65,6 +66,10 @@
 	// eventIntervals has the moving average of the time between two events of a
 	// response by service.
 	eventIntervals map[string]time.Duration
+	// arrivals measures the requests that arrive at this host, by service.
+	arrivals map[string]limiter.Meter
+	// told holds the demands that other hosts were told.
+	told toldDemands
 }
 
 // upstreamState is what this host knows of one incarnation of an upstream.
@@ -86,6 +91,10 @@
 	// unanswered has the send times of the requests whose responses have not begun,
 	// the oldest first.
 	unanswered list.List
+	// limit is the requests a second that the upstream takes from all hosts together; 0 if
+	// it names none. allowance is what this host has saved up of its share.
+	limit     float64
+	allowance limiter.Allowance
 }
 
 // countOverdue returns the number of requests that were sent at least a given duration
--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -129,8 +129,10 @@
 	d.news.add(m.GetAddress(), m, d.table.Len())
 }
 
-// SetLoad replaces the requests that this host has in flight at upstreams.
-func (d *Detector) SetLoad(running []*messenger.Running) { d.loads.own = running }
+// SetLoad replaces the requests that this host has in flight at upstreams, and its demands.
+func (d *Detector) SetLoad(running []*messenger.Running, demands []*messenger.Demand) {
+	d.loads.own, d.loads.demands = running, demands
+}
 
 // Tick sends the pings and news that are due, and updates hosts whose time to answer
 // or to refute a suspicion is over. It is to be called every TickInterval.
--- a/gossiper/detector_test.go
+++ b/gossiper/detector_test.go
@@ -76,7 +76,7 @@
 		running = append(running, &messenger.Running{Upstream: uint64(i) << 60, Requests: 3})
 	}
 	for _, d := range f.hosts {
-		d.SetLoad(running)
+		d.SetLoad(running, nil)
 	}
 	f.datagrams, f.bytes = 0, 0
 	const seconds = 2
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -25,6 +25,9 @@
 	Self func() (*messenger.Member, int64)
 	// Running returns the requests that this host has in flight at upstreams.
 	Running func(now time.Time) []*messenger.Running
+	// Demands returns the requests a second that arrive at this host for each service; nil if
+	// it reports none.
+	Demands func(now time.Time) []*messenger.Demand
 	// Crashes keeps the reports of crashes of this host and others; nil if none are exchanged.
 	Crashes CrashStore
 	// Changed is called after the state of another host has changed: the host has become
@@ -109,9 +112,13 @@
 		now := time.Now()
 		self, config := g.config.Self()
 		running := g.config.Running(now)
+		var demands []*messenger.Demand
+		if g.config.Demands != nil {
+			demands = g.config.Demands(now)
+		}
 		g.update(func(d *Detector) []Envelope {
 			d.SetSelf(self, config)
-			d.SetLoad(running)
+			d.SetLoad(running, demands)
 			return d.Tick(now)
 		})
 		select {
--- a/gossiper/load.go
+++ b/gossiper/load.go
@@ -11,11 +11,11 @@
 const (
 	// reportInterval is the time between two rounds of load reports.
 	reportInterval = 150 * time.Millisecond
-	// reportFanout is the number of hosts at most that get a load report in one round,
+	// ReportFanout is the number of hosts at most that get a load report in one round,
 	// and reportBytes the size in bytes of the reports of a round. The hosts of a data
 	// centre take turns, so that a host sends as much in a large data centre as in a
 	// small one.
-	reportFanout = 8
+	ReportFanout = 8
 	reportBytes  = 700
 	// minReportLifetime is how long a load report is valid at least.
 	minReportLifetime = time.Second
@@ -25,7 +25,11 @@
 
 // Report is the requests that a host has in flight at upstreams.
 type Report struct {
+	// Host is the address of the sender.
+	Host    string
 	Running []*messenger.Running
+	// Demands are the requests a second that arrive at the host for each service.
+	Demands []*messenger.Demand
 	// version is the version of the sender's state, and number orders the reports of one
 	// run of the sender.
 	version, number uint64
@@ -36,9 +40,10 @@
 // some hosts of other data centres get them too. The zero value is ready
 // to use.
 type loadReports struct {
-	// own is what this host reports, and number the number of its last report.
-	own    []*messenger.Running
-	number uint64
+	// own and demands are what this host reports, and number the number of its last report.
+	own     []*messenger.Running
+	demands []*messenger.Demand
+	number  uint64
 	// quietRounds counts the rounds since own was last not empty.
 	quietRounds int
 	sentAt      time.Time
@@ -60,7 +65,7 @@
 	if c.reports == nil {
 		c.reports = make(map[string]Report)
 	}
-	c.reports[host] = Report{Running: m.GetRunning(), version: version, number: m.GetReport(), receivedAt: now}
+	c.reports[host] = Report{Host: host, Running: m.GetRunning(), Demands: m.GetDemands(), version: version, number: m.GetReport(), receivedAt: now}
 }
 
 // current returns the reports that are still valid, and drops the others. A report is
@@ -91,7 +96,7 @@
 		return nil
 	}
 	c.quietRounds++
-	if len(c.own) > 0 {
+	if len(c.own)+len(c.demands) > 0 {
 		c.quietRounds = 0
 	}
 	if c.quietRounds > max(1, c.rounds) {
@@ -100,9 +105,9 @@
 	c.number++
 	m := &messenger.Gossip{
 		Sender: &messenger.Member{Address: d.self.GetAddress(), Version: d.self.GetVersion()},
-		Report: c.number, Running: c.own[:min(len(c.own), maxRunning)],
+		Report: c.number, Running: c.own[:min(len(c.own), maxRunning)], Demands: c.demands,
 	}
-	fanout := min(len(hosts), reportFanout, max(1, reportBytes/proto.Size(m)))
+	fanout := min(len(hosts), ReportFanout, max(1, reportBytes/proto.Size(m)))
 	c.rounds = (len(hosts) + fanout - 1) / fanout
 	var out []Envelope
 	for range fanout {
@@ -113,7 +118,7 @@
 }
 
 // reportReceivers returns the live hosts of this host's data centre. If these are fewer
-// than reportFanout, hosts of other data centres are added.
+// than ReportFanout, hosts of other data centres are added.
 func (d *Detector) reportReceivers() []string {
 	var near, far []string
 	for _, m := range d.table.Live() {
@@ -123,7 +128,7 @@
 			far = append(far, m.GetAddress())
 		}
 	}
-	if missing := reportFanout - len(near); missing > 0 {
+	if missing := ReportFanout - len(near); missing > 0 {
 		near = append(near, far[:min(missing, len(far))]...)
 	}
 	return near
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -46,6 +46,7 @@
 	Capacity   Reason = "capacity"    // no upstream can take the request now
 	Resume     Reason = "resume"      // the stream to resume was begun by an unknown version, or by one that no upstream runs
 	Quarantine Reason = "quarantine"  // upstreams ended while they ran earlier attempts of the request; not run for a time
+	Limited    Reason = "limited"     // the upstreams take no more requests now than the limits that they name
 	Late       Reason = "late"        // the deadline passed before any upstream could have run the request
 	Timeout    Reason = "timeout"     // the deadline passed after an upstream may have begun to run the request
 )
@@ -97,6 +98,7 @@
 	Capacity:   http.StatusServiceUnavailable,
 	Resume:     http.StatusServiceUnavailable,
 	Quarantine: http.StatusServiceUnavailable,
+	Limited:    http.StatusServiceUnavailable,
 	Late:       http.StatusServiceUnavailable,
 	Timeout:    http.StatusGatewayTimeout,
 }
