Send an upstream no new requests once it has said that it leaves

An upstream that leaves says so in its responses, before or without its entry in the list; requests went there until the entry said so too.

Cause: the header was not read.

Evidence: TestUpstreamThatSaidItLeavesGetsNewRequests, for answers and refusals: the upstream got later requests before.

Change: Notice has Leaving; the tracker keeps when an upstream first said it, for this incarnation, and for five minutes after its entry is gone. Such an upstream is not chosen; only a stream that it may still go on with is taken there, for half of the drain period, as with the list.

--- a/entry.go
+++ b/entry.go
@@ -331,7 +331,7 @@
 		list, listed := e.watcher.List()
 		if listed {
 			e.exchanger.Prune(list.Listed, now)
-			e.tracker.Prune(list.Listed)
+			e.tracker.Prune(list.Listed, now)
 		}
 		e.forwarder.ConfirmCrashes(now)
 		e.limitConnections(now)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -51,6 +51,8 @@
 	// Limit is the number of requests a second that the upstream takes from all hosts
 	// together; 0 means that it names none.
 	Limit float64
+	// Leaving is true if the upstream takes no new requests soon.
+	Leaving bool
 }
 
 // NotRunError reports that the upstream answered that it did not run the
--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -47,6 +47,14 @@
 	// request may wait for this host's share of an upstream's limit.
 	remoteDemand RemoteDemand
 	maxDelay     time.Duration
+	// leavingGrace is for how long an upstream may be chosen that has said it leaves.
+	leavingGrace time.Duration
+}
+
+// withLeavingGrace returns c with another leavingGrace.
+func (c choiceInput) withLeavingGrace(grace time.Duration) choiceInput {
+	c.leavingGrace = grace
+	return c
 }
 
 // choice is an upstream that was chosen for a request, and what the choice assumed.
@@ -73,7 +81,7 @@
 	var candidates []router.Candidate
 	var shortestDelay time.Duration
 	for _, u := range upstreams {
-		if c.tried[u.ID] {
+		if c.tried[u.ID] || t.stateOf(u).leftBefore(now.Add(-c.leavingGrace)) {
 			continue
 		}
 		delay, reserves := t.limitDelay(u, c.remoteDemand, now)
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -129,9 +129,12 @@
 	if chosen, ok := e.config.Tracker.choose(list.UsableOfBuild(e.build, now), input, now); ok {
 		return chosen, true
 	}
-	return e.config.Tracker.choose(e.leavingUpstreams(list, now), input, now)
+	return e.config.Tracker.choose(e.leavingUpstreams(list, now), input.withLeavingGrace(e.leavingGrace()), now)
 }
 
+// leavingGrace returns for how long a leaving upstream may go on with a stream.
+func (e *exchange) leavingGrace() time.Duration { return e.config.Drain / drainDivisor }
+
 // choiceInput returns the inputs to the choice of an upstream.
 func (e *exchange) choiceInput(now time.Time) choiceInput {
 	return choiceInput{
@@ -148,9 +151,10 @@
 }
 
 // leavingUpstreams returns the upstreams of the stream's build that have begun to leave
-// so lately that they still take requests.
+// so lately that they still take requests, and those that are listed as ready, as they may
+// have said since that they leave.
 func (e *exchange) leavingUpstreams(list watcher.List, now time.Time) []descriptor.Upstream {
-	return list.LeavingOfBuild(e.build, now.Add(-e.config.Drain/drainDivisor))
+	return append(list.LeavingOfBuild(e.build, now.Add(-e.leavingGrace())), list.UsableOfBuild(e.build, now)...)
 }
 
 // send sends the request to one upstream after another until one answers. After a
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -38,7 +38,9 @@
 
 func (codec) HasStamp(http.Header) bool { return true }
 
-func (codec) Notice(http.Header) exchanger.Notice { return exchanger.Notice{} }
+func (codec) Notice(h http.Header) exchanger.Notice {
+	return exchanger.Notice{Leaving: h.Get("Leaving") != ""}
+}
 
 // script answers one request as an upstream and reports whether the connection
 // stays open for further requests.
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
-	"net/http"
 	"time"
 
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/limiter"
 )
@@ -42,22 +39,6 @@
 	t.arrivals[service] = t.arrivals[service].WithRequest(now)
 }
 
-// recordNotice keeps what an upstream says of itself in a response. It reports whether the
-// limit that the upstream names has changed.
-func (t *UpstreamTracker) recordNotice(u descriptor.Upstream, n exchanger.Notice, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	state, ok := t.upstreams[u.ID]
-	if !ok || state.incarnation != u.Incarnation || state.limit == n.Limit {
-		return false
-	}
-	if state.limit == 0 {
-		state.allowance = limiter.NewAllowance(now)
-	}
-	state.limit = n.Limit
-	return true
-}
-
 const (
 	// minDemand is the lowest demand, in requests a second, that other hosts are told.
 	minDemand = 0.01
@@ -153,21 +134,3 @@
 	list, _ := e.config.Upstreams()
 	return ctx.Err() == nil && list.IsUsable(chosen.ID, time.Now())
 }
-
-// learnNotice keeps what an upstream said of itself in a response, or in the refusal err.
-func (e *exchange) learnNotice(u descriptor.Upstream, response *exchanger.Response, err error) {
-	var notice exchanger.Notice
-	var notRun *exchanger.NotRunError
-	switch {
-	case response != nil:
-		notice = response.Notice
-	case errors.As(err, &notRun) && notRun.Status != http.StatusMisdirectedRequest:
-		notice = notRun.Notice
-	default:
-		return
-	}
-	if e.config.Tracker.recordNotice(u, notice, time.Now()) {
-		e.config.Logger.Info().Str("id", e.request.ID).Str("upstream", u.ID).Str("service", u.Service).
-			Float64("limit", notice.Limit).Msg("upstream names another limit")
-	}
-}
--- a/forwarder/tracker.go
+++ b/forwarder/tracker.go
@@ -95,6 +95,14 @@
 	// it names none. allowance is what this host has saved up of its share.
 	limit     float64
 	allowance limiter.Allowance
+	// leavingSince is when the upstream first said in a response that it leaves. It is never
+	// reset: a response that was begun before may arrive later.
+	leavingSince time.Time
+}
+
+// leftBefore reports whether the upstream said at the given time or before that it leaves.
+func (s *upstreamState) leftBefore(at time.Time) bool {
+	return !s.leavingSince.IsZero() && !s.leavingSince.After(at)
 }
 
 // countOverdue returns the number of requests that were sent at least a given duration
@@ -284,13 +292,18 @@
 	return loads
 }
 
+// leavingKept is how long it is kept that an upstream said it leaves, if it is not listed any
+// more: it may be listed again after an outage of the store.
+const leavingKept = 5 * time.Minute
+
 // Prune deletes the state of upstreams for which listed returns false and that have
 // no request in flight.
-func (t *UpstreamTracker) Prune(listed func(id string) bool) {
+func (t *UpstreamTracker) Prune(listed func(id string) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, state := range t.upstreams {
-		if state.inFlight == 0 && !listed(id) {
+		kept := now.Sub(state.leavingSince) < leavingKept
+		if state.inFlight == 0 && !kept && !listed(id) {
 			delete(t.upstreams, id)
 		}
 	}
