Break off a stream that ends inside an event, however it is framed

What callers saw: a stream whose connection ended inside an event was passed on as complete, with a part of an event at its end (ORDER, MIXED); answers may come with neither length nor chunks now, so that the end of the connection is all that there is.

Cause: the bytes after the last complete event were sent as they were.

Evidence: TestStreamThatEndsInsideAnEventLooksComplete failed in four of six cases. Calls without a length were whole before, and a reset one was not (two more tests).

Change: such an end is an *exchanger.IncompleteError: the stream is resumed where it may be, else cut.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -137,7 +138,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			return e.writeRest(s.rest())
+			return e.endEvents(s.rest())
 		default:
 			return err
 		}
@@ -175,9 +176,19 @@
 	return nil
 }
 
-// writeRest sends the caller the bytes that follow the last complete event of a
-// stream that has ended.
-func (e *exchange) writeRest(rest []byte) error {
+// PartialEventError reports a stream that ended inside an event.
+type PartialEventError struct{}
+
+// Error implements the error interface.
+func (*PartialEventError) Error() string { return "stream ended inside an event" }
+
+// endEvents ends a stream with the bytes that follow its last complete event. Line ends are
+// sent to the caller. Anything else is a part of an event: the upstream has broken the stream
+// off, even if the connection ended properly.
+func (e *exchange) endEvents(rest []byte) error {
+	if len(bytes.TrimSpace(rest)) > 0 {
+		return &exchanger.IncompleteError{Upstream: e.upstream.ID, Cause: &PartialEventError{}}
+	}
 	if len(rest) == 0 {
 		return nil
 	}
