Don't believe a refusal without an id on a connection that was used before

Cause: a response without an id was taken on any connection if it said that the request was not run, although any earlier request may have got it.

Evidence: two new cases of exchanger TestResponses ('earlier refusal once more') failed: the request, which the upstream answered afterwards, counted as not run.

Change: such a response is skipped like one of another request; it is believed on a new connection only, and that one is not used again. Two cases of TestResponses said that a connection is used again after such a refusal: that was wrong, as the next one can't be told from a repeat; they now want two connections, and two cases with the id want one.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -211,7 +211,8 @@
 	}
 	requestWritten := writing.hasFinished() && writing.wait().err == nil
 	if e.codec.NotRun(response.StatusCode, response.Header) {
-		c.notReusable = c.misdeliveredSeen || !requestWritten || response.Close || discardBody(response) != nil
+		named := e.codec.RequestID(response.Header) != ""
+		c.notReusable = c.misdeliveredSeen || !named || !requestWritten || response.Close || discardBody(response) != nil
 		return nil, &NotRunError{Upstream: u.ID, Status: response.StatusCode, Notice: e.codec.Notice(response.Header)}
 	}
 	if response.StatusCode < http.StatusMultipleChoices && !e.codec.HasStamp(response.Header) {
@@ -237,8 +238,8 @@
 
 // readResponse reads the header of the response to r. An upstream may first send a
 // duplicate response to an earlier request; such a response echoes another request
-// id and is skipped. A response without an id is accepted on a new connection, or
-// if it states that the request was not run.
+// id and is skipped. A response without an id is accepted on a new connection only: on
+// another one it may be an earlier refusal once more, of a request that the upstream runs.
 func (e *Exchanger) readResponse(c *conn, r descriptor.Request) (*http.Response, error) {
 	for misdelivered := 0; ; misdelivered++ {
 		response, err := c.readHeader(r.Method)
@@ -246,7 +247,7 @@
 			return nil, err
 		}
 		echoedID := e.codec.RequestID(response.Header)
-		acceptedWithoutID := echoedID == "" && (!c.usedBefore || e.codec.NotRun(response.StatusCode, response.Header))
+		acceptedWithoutID := echoedID == "" && !c.usedBefore
 		if echoedID == r.ID || acceptedWithoutID {
 			return response, nil
 		}
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -232,14 +232,44 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nUnproved: 1\r\nContent-Length: 2\r\n\r\nok", id)
 			return true
 		}, []string{"incomplete", "incomplete"}, 2},
-		{"not run", func(c net.Conn, _ string) bool {
-			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		{"not run", func(c net.Conn, id string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 			return true
 		}, []string{"not run", "not run"}, 1},
-		{"rejected by another incarnation", func(c net.Conn, _ string) bool {
-			_, _ = io.WriteString(c, "HTTP/1.1 421 No\r\nContent-Length: 2\r\n\r\nno")
+		{"rejected by another incarnation", func(c net.Conn, id string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 No\r\nId: %s\r\nContent-Length: 2\r\n\r\nno", id)
 			return true
 		}, []string{"not run", "not run"}, 1},
+		{"not run, without an id", func(c net.Conn, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, []string{"not run", "not run"}, 2},
+		{"rejected by another incarnation, without an id", func(c net.Conn, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 421 No\r\nContent-Length: 2\r\n\r\nno")
+			return true
+		}, []string{"not run", "not run"}, 2},
+		{"earlier refusal once more, without an id", func(c net.Conn, id string) bool {
+			if id == "2" {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+			reply(c, id, "ok")
+			return true
+		}, []string{"ok", "ok"}, 1},
+		{"earlier refusal once more", func(c net.Conn, id string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			if id == "2" {
+				reply(c, id, "ok")
+			}
+			return true
+		}, []string{"not run", "ok"}, 1},
+		{"earlier refusal in place of the answer", func(c net.Conn, id string) bool {
+			if id == "1" {
+				reply(c, id, "ok")
+				return true
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return false
+		}, []string{"ok", "incomplete"}, 1},
 		{"closing", func(c net.Conn, id string) bool {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", id)
 			return true
