--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -175,13 +175,14 @@
 	return err
 }
 
-// resolve returns the UDP address of a peer address, host:port. Only a host name is looked
-// up.
+// resolve returns the UDP address of a peer address, IP:PORT. Names are not looked up: an odd
+// entry in the list of hosts would hold up the datagrams to all others.
 func resolve(address string) (*net.UDPAddr, error) {
-	if to, err := netip.ParseAddrPort(address); err == nil {
-		return net.UDPAddrFromAddrPort(to), nil
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
 	}
-	return net.ResolveUDPAddr("udp4", address)
+	return net.UDPAddrFromAddrPort(to), nil
 }
 
 // maxDatagram is the size in bytes of the largest datagram that is received.
