Go on with a broken stream elsewhere, unless its upstream has not restarted

Cause: the upstream that broke the stream off was asked first, over a new connection: to whatever runs there now.

Change: the same upstream is asked over a connection that is still open (a restart ends those), otherwise another upstream of the build, and only then the same one over a new connection.

Left: no other upstream of the build, or that one restarted so itself.

--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -75,15 +75,25 @@
 	p.limit = connections
 }
 
-// acquire returns an idle connection that is safe to use, or opens a new one. It
-// closes idle connections that are too old or have received unexpected input.
-func (p *pool) acquire(ctx context.Context, u descriptor.Upstream, now time.Time) (*conn, error) {
+// NoConnectionError reports that no connection to an upstream is open, where none may be opened.
+type NoConnectionError struct{}
+
+// Error implements the error interface.
+func (*NoConnectionError) Error() string { return "no connection to the upstream is open" }
+
+// acquire returns an idle connection that is safe to use, or opens a new one unless onlyOpen
+// is set. It closes idle connections that are too old or have received unexpected input.
+func (p *pool) acquire(ctx context.Context, u descriptor.Upstream, onlyOpen bool, now time.Time) (*conn, error) {
 	k := keyOf(u)
 	for {
 		c, found, err := p.takeIdleOrReserve(k)
 		if err != nil {
 			return nil, err
 		}
+		if !found && onlyOpen {
+			p.releaseSlot(k)
+			return nil, &NoConnectionError{}
+		}
 		if !found {
 			return p.openConn(ctx, k)
 		}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -194,8 +194,23 @@
 	}
 }
 
+// connectionChoice says over which connections a request may be sent.
+type connectionChoice int
+
+const (
+	// anyConnection opens a connection if none is open.
+	anyConnection connectionChoice = iota
+	// openConnection takes one that is open.
+	openConnection
+)
+
 // sendTo sends the request to one upstream and waits for the header of the response.
 func (e *exchange) sendTo(ctx context.Context, chosen choice, after string, now time.Time) (*exchanger.Response, error) {
+	return e.sendOver(ctx, chosen, after, anyConnection, now)
+}
+
+// sendOver sends the request like sendTo, over the connections that it may use.
+func (e *exchange) sendOver(ctx context.Context, chosen choice, after string, connections connectionChoice, now time.Time) (*exchanger.Response, error) {
 	u := chosen.Upstream
 	e.upstream = u
 	e.sends++
@@ -206,6 +221,7 @@
 		Timeout:       e.remaining(now),
 		Urgency:       e.route.Urgency,
 		LastEventID:   after,
+		OnlyOpen:      connections == openConnection,
 		HeaderTimeout: e.headerTimeout(now),
 	}, now)
 	e.learnNotice(u, response, err)
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"time"
 
@@ -81,17 +82,26 @@
 	return response
 }
 
-// sendForRest sends the request for the events after the event with the id last: to the
-// same upstream if it is usable, and otherwise to another one.
+// sendForRest sends the request for the events after the event with the id last: to the same
+// upstream over a connection that is still open, as it has not restarted then, otherwise to
+// another one, and only if there is none over a new connection to the same upstream.
 func (e *exchange) sendForRest(ctx context.Context, last string) (*exchanger.Response, error) {
 	now := time.Now()
-	var chosen choice
-	same, ok := e.sameUpstream(now)
-	if ok {
-		chosen, ok = e.config.Tracker.choose([]descriptor.Upstream{same}, e.choiceInput(now), now)
+	same, usable := e.sameUpstream(now)
+	usable = usable && !e.tried[same.ID]
+	if usable && e.config.Exchanger.HasIdle(same, now) {
+		chosen, ok := e.config.Tracker.choose([]descriptor.Upstream{same}, e.choiceInput(now), now)
+		if ok && e.awaitDelay(ctx, chosen) {
+			response, err := e.sendOver(ctx, chosen, last, openConnection, time.Now())
+			var none *exchanger.NoConnectionError
+			if !errors.As(err, &none) {
+				return response, err
+			}
+		}
 	}
-	if !ok {
-		chosen, ok = e.pickUpstream(now)
+	chosen, ok := e.pickOther(same.ID, now)
+	if !ok && usable {
+		chosen, ok = e.config.Tracker.choose([]descriptor.Upstream{same}, e.choiceInput(now), now)
 	}
 	if !ok || !e.awaitDelay(ctx, chosen) {
 		return nil, &NoUpstreamError{Build: e.build}
@@ -99,6 +109,15 @@
 	return e.sendTo(ctx, chosen, last, time.Now())
 }
 
+// pickOther chooses an upstream other than the one with the given id, which still counts as
+// not tried.
+func (e *exchange) pickOther(id string, now time.Time) (choice, bool) {
+	tried := e.tried
+	defer func() { e.tried = tried }()
+	e.tried = withTried(maps.Clone(tried), id)
+	return e.pickUpstream(now)
+}
+
 // NoUpstreamError reports that no upstream that was not tried yet runs a build.
 type NoUpstreamError struct{ Build descriptor.Build }
 
