--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -13,7 +13,7 @@
 // Policy sets when a request is refused.
 type Policy struct {
 	// Crashes is the number of crashes, one after the other, after which a request is
-	// refused.
+	// refused; 0 counts as 1.
 	Crashes int
 	// Overlapping is the number of crashes that count as one if the request ran at these
 	// upstreams at the same time, as they may have ended together for another reason; 0
@@ -111,30 +111,33 @@
 	if len(crashes) == 0 {
 		return Clear{}
 	}
-	var caused []sighting
-	var newest time.Time
-	for crash, s := range crashes {
-		if s.endedAt.After(newest) {
-			newest = s.endedAt
-		}
-		if !i.explained(f, crash, len(crashes), now) {
-			caused = append(caused, s)
-		}
-	}
-	if max(successive(caused), len(caused)/max(1, i.policy.Overlapping)) < i.policy.Crashes {
+	caused := i.caused(f, crashes, now)
+	if max(successive(caused), len(caused)/max(1, i.policy.Overlapping)) < max(1, i.policy.Crashes) {
 		return Suspect{}
 	}
 	verdict := Refused{Crashes: len(caused)}
 	if i.policy.Quarantine > 0 {
-		verdict.Until = newest.Add(i.policy.Quarantine)
+		verdict.Until = caused[len(caused)-1].endedAt.Add(i.policy.Quarantine)
 	}
 	return verdict
 }
 
-// successive returns the largest number of crashes of which each request was sent after the
-// one before had ended.
+// caused returns those of the counted crashes of a request that no other request explains, the
+// latest last. The caller must hold mu.
+func (i *Isolator) caused(f Fingerprint, crashes map[string]sighting, now time.Time) []sighting {
+	var caused []sighting
+	for crash, s := range crashes {
+		if !i.explained(f, crash, len(crashes), now) {
+			caused = append(caused, s)
+		}
+	}
+	slices.SortFunc(caused, func(a, b sighting) int { return a.endedAt.Compare(b.endedAt) })
+	return caused
+}
+
+// successive returns the largest number of crashes, which are sorted by their end, of which
+// each began after the one before had ended.
 func successive(crashes []sighting) int {
-	slices.SortFunc(crashes, func(a, b sighting) int { return a.endedAt.Compare(b.endedAt) })
 	count := 0
 	var last time.Time
 	for _, s := range crashes {
