Reckon the demands once for each choice of an upstream

With a limit at each of 130 upstreams and 28 hosts that tell their demands, a choice copied the demands 130 times. Read in the diff, not measured.

--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -80,11 +80,12 @@
 	holders := t.holdersOf(c, upstreams, now)
 	var candidates []router.Candidate
 	var shortestDelay time.Duration
+	demand := t.demandFor(serviceOf(upstreams), upstreams, c.remoteDemand)
 	for _, u := range upstreams {
 		if c.tried[u.ID] || t.stateOf(u).leftBefore(now.Add(-c.leavingGrace)) {
 			continue
 		}
-		delay, reserves := t.limitDelay(u, c.remoteDemand, now)
+		delay, reserves := t.limitDelay(u, demand, now)
 		if delay > c.maxDelay || !reserves {
 			if shortestDelay == 0 || delay < shortestDelay {
 				shortestDelay = delay
@@ -106,8 +107,8 @@
 		return choice{delay: shortestDelay}, false
 	}
 	state := t.stateOf(best.Upstream)
-	delay, _ := t.limitDelay(best.Upstream, c.remoteDemand, now)
-	t.useAllowance(best.Upstream, c.remoteDemand, now)
+	delay, _ := t.limitDelay(best.Upstream, demand, now)
+	t.useAllowance(best.Upstream, demand, now)
 	inFlight := state.inFlight + c.remoteLoads[state.hash].InFlight
 	return choice{
 		delay:    delay,
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/citronpier/citronpier/descriptor"
@@ -79,27 +80,31 @@
 // limitDelay returns how long a request to an upstream has to wait for this host's part of
 // the limit that the upstream names, and whether it may be sent then; if not, another choice
 // has to be made then. The caller must hold mu.
-func (t *UpstreamTracker) limitDelay(u descriptor.Upstream, d RemoteDemand, now time.Time) (delay time.Duration, reserves bool) {
+func (t *UpstreamTracker) limitDelay(u descriptor.Upstream, d limiter.Demand, now time.Time) (delay time.Duration, reserves bool) {
 	state := t.stateOf(u)
 	if state.limit == 0 {
 		return 0, true
 	}
-	demand := t.demandFor(u.Service, d)
-	if demand.Untold(state.limit) {
+	if d.Untold(state.limit) {
 		return toldAfter, false
 	}
-	return state.allowance.Wait(demand.Rate(u.ID, state.limit), now), true
+	return state.allowance.Wait(d.Rate(u.ID, state.limit), now), true
 }
 
 // useAllowance counts a request to an upstream, if it names a limit. The caller must hold mu.
-func (t *UpstreamTracker) useAllowance(u descriptor.Upstream, d RemoteDemand, now time.Time) {
+func (t *UpstreamTracker) useAllowance(u descriptor.Upstream, d limiter.Demand, now time.Time) {
 	if state := t.stateOf(u); state.limit > 0 {
-		state.allowance = state.allowance.WithRequest(t.demandFor(u.Service, d).Rate(u.ID, state.limit), now)
+		state.allowance = state.allowance.WithRequest(d.Rate(u.ID, state.limit), now)
 	}
 }
 
-// demandFor returns the demands of all hosts for a service. The caller must hold mu.
-func (t *UpstreamTracker) demandFor(service string, d RemoteDemand) limiter.Demand {
+// demandFor returns the demands of all hosts for a service, if one of its upstreams names a
+// limit. The caller must hold mu.
+func (t *UpstreamTracker) demandFor(service string, upstreams []descriptor.Upstream, d RemoteDemand) limiter.Demand {
+	limited := func(u descriptor.Upstream) bool { return t.stateOf(u).limit > 0 }
+	if !slices.ContainsFunc(upstreams, limited) {
+		return limiter.Demand{}
+	}
 	perSecond := maps.Clone(d.PerSecond)
 	if perSecond == nil {
 		perSecond = make(map[string]float64)
