Take only a connection from before a stream as a sign that its upstream has not restarted

Cause: a lost response is examined by opening a connection to its upstream. If something listens there, that connection is kept, and it counted as open although it was opened after the stream broke off.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -148,23 +148,14 @@
 	}
 }
 
-// connectionChoice says over which connections a request may be sent.
-type connectionChoice int
-
-const (
-	// anyConnection opens a connection if none is open.
-	anyConnection connectionChoice = iota
-	// openConnection takes one that is open.
-	openConnection
-)
-
 // sendTo sends the request to one upstream and waits for the header of the response.
 func (e *exchange) sendTo(ctx context.Context, chosen choice, after string, now time.Time) (*exchanger.Response, error) {
-	return e.sendOver(ctx, chosen, after, anyConnection, now)
+	return e.sendOver(ctx, chosen, after, time.Time{}, now)
 }
 
-// sendOver sends the request like sendTo, over the connections that it may use.
-func (e *exchange) sendOver(ctx context.Context, chosen choice, after string, connections connectionChoice, now time.Time) (*exchanger.Response, error) {
+// sendOver sends the request like sendTo, over a connection that was opened before openedBefore
+// if that is set.
+func (e *exchange) sendOver(ctx context.Context, chosen choice, after string, openedBefore, now time.Time) (*exchanger.Response, error) {
 	u := chosen.Upstream
 	e.upstream = u
 	e.sends++
@@ -175,7 +166,7 @@
 		Timeout:       e.remaining(now),
 		Urgency:       e.route.Urgency,
 		LastEventID:   after,
-		OnlyOpen:      connections == openConnection,
+		OpenedBefore:  openedBefore,
 		HeaderTimeout: e.headerTimeout(now),
 	}, now)
 	e.learnNotice(u, response, err)
