--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -28,8 +28,6 @@
 	reader  *bufio.Reader
 	key     incarnationKey
 	pool    *pool
-	// openedAt is when the connection was opened.
-	openedAt time.Time
 	// usedBefore is true once the connection has carried a request and been returned
 	// to the pool.
 	usedBefore bool
@@ -50,7 +48,7 @@
 // newConn returns a conn of a pool for an open connection.
 func newConn(raw net.Conn, k incarnationKey, p *pool) *conn {
 	limited := &io.LimitedReader{R: raw, N: math.MaxInt64}
-	return &conn{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBuffer), key: k, pool: p, openedAt: time.Now()}
+	return &conn{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBuffer), key: k, pool: p}
 }
 
 // interrupt makes pending and later reads and writes fail at once.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -24,9 +24,6 @@
 	// LastEventID is the id of the last event that the caller has received, if this
 	// request resumes an interrupted stream; empty otherwise.
 	LastEventID string
-	// OpenedBefore, if it is set, allows only connections that were opened before and are still
-	// open: the upstream has not restarted since.
-	OpenedBefore time.Time
 	// HeaderTimeout is the longest wait for the header of the response; 0 means no limit.
 	HeaderTimeout time.Duration
 }
@@ -146,7 +143,7 @@
 // and the connection is closed. The error is a *connector.UnsentError if no byte
 // of the request left the host, a *NotRunError, or an *IncompleteError.
 func (e *Exchanger) Send(ctx context.Context, u descriptor.Upstream, a Attempt, now time.Time) (*Response, error) {
-	c, err := e.pool.acquire(ctx, u, a.OpenedBefore, now)
+	c, err := e.pool.acquire(ctx, u, now)
 	if err != nil {
 		return nil, &connector.UnsentError{Upstream: u.ID, Cause: err}
 	}
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -76,20 +75,12 @@
 	p.limit = connections
 }
 
-// NoConnectionError reports that no connection to an upstream is open that may be used, where
-// none may be opened.
-type NoConnectionError struct{}
-
-// Error implements the error interface.
-func (*NoConnectionError) Error() string { return "no connection to the upstream is open" }
-
-// acquire returns an idle connection that is safe to use, or opens a new one unless
-// openedBefore is set. It closes idle connections that are too old or have received unexpected
-// input.
-func (p *pool) acquire(ctx context.Context, u descriptor.Upstream, openedBefore, now time.Time) (*conn, error) {
+// acquire returns an idle connection that is safe to use, or opens a new one. It
+// closes idle connections that are too old or have received unexpected input.
+func (p *pool) acquire(ctx context.Context, u descriptor.Upstream, now time.Time) (*conn, error) {
 	k := keyOf(u)
 	for {
-		c, found, err := p.takeIdleOrReserve(k, openedBefore)
+		c, found, err := p.takeIdleOrReserve(k)
 		if err != nil {
 			return nil, err
 		}
@@ -106,17 +97,6 @@
 	}
 }
 
-// HasOpen reports whether an idle connection to an upstream that was opened before a given time
-// is likely to be usable.
-func (e *Exchanger) HasOpen(u descriptor.Upstream, openedBefore, now time.Time) bool {
-	p := &e.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[keyOf(u)], func(c *conn) bool {
-		return c.openedAt.Before(openedBefore) && now.Before(c.expires)
-	})
-}
-
 // HasIdle reports whether an idle connection to an upstream is likely to be usable.
 func (e *Exchanger) HasIdle(u descriptor.Upstream, now time.Time) bool {
 	p := &e.pool
@@ -130,22 +110,17 @@
 	return now.Before(newest.expires) && now.Sub(newest.idleSince) <= p.idleLimit.maxIdle(now)
 }
 
-// takeIdleOrReserve returns the most recently used idle connection and true, of those opened
-// before openedBefore if that is set. If there is none, it counts a new connection towards the
-// limit and returns false; the caller then opens the connection. If the limit is reached, it
-// returns a *ConnectionLimitError, and if none may be opened, a *NoConnectionError.
-func (p *pool) takeIdleOrReserve(k incarnationKey, openedBefore time.Time) (*conn, bool, error) {
+// takeIdleOrReserve returns the most recently used idle connection and true. If there
+// is none, it counts a new connection towards the limit and returns false; the caller
+// then opens the connection. If the limit is reached, it returns a
+// *ConnectionLimitError.
+func (p *pool) takeIdleOrReserve(k incarnationKey) (*conn, bool, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[k]
-	for i, c := range slices.Backward(idle) {
-		if openedBefore.IsZero() || c.openedAt.Before(openedBefore) {
-			p.idle[k] = slices.Delete(idle, i, i+1)
-			return c, true, nil
-		}
-	}
-	if !openedBefore.IsZero() {
-		return nil, false, &NoConnectionError{}
+	if idle := p.idle[k]; len(idle) > 0 {
+		c := idle[len(idle)-1]
+		p.idle[k] = idle[:len(idle)-1]
+		return c, true, nil
 	}
 	return nil, false, p.reserve(k)
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -150,12 +150,6 @@
 
 // sendTo sends the request to one upstream and waits for the header of the response.
 func (e *exchange) sendTo(ctx context.Context, chosen choice, after string, now time.Time) (*exchanger.Response, error) {
-	return e.sendOver(ctx, chosen, after, time.Time{}, now)
-}
-
-// sendOver sends the request like sendTo, over a connection that was opened before openedBefore
-// if that is set.
-func (e *exchange) sendOver(ctx context.Context, chosen choice, after string, openedBefore, now time.Time) (*exchanger.Response, error) {
 	u := chosen.Upstream
 	e.upstream = u
 	e.sends++
@@ -166,7 +160,6 @@
 		Timeout:       e.remaining(now),
 		Urgency:       e.route.Urgency,
 		LastEventID:   after,
-		OpenedBefore:  openedBefore,
 		HeaderTimeout: e.headerTimeout(now),
 	}, now)
 	e.learnNotice(u, response, err)
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -81,29 +81,19 @@
 	return response
 }
 
-// sendForRest sends the request for the events after the event with the id last: to the same
-// upstream over a connection that was opened before the stream and is still open, as it has not
-// restarted then, otherwise to another one, and only if there is none over a new connection to
-// the same upstream.
+// sendForRest sends the request for the events after the event with the id last: to the
+// same upstream if it is usable, as a route may allow one upstream only, and otherwise to
+// another one.
 func (e *exchange) sendForRest(ctx context.Context, last string) (*exchanger.Response, error) {
 	now := time.Now()
-	same, usable := e.sameUpstream(now)
-	usable = usable && !e.tried[same.ID]
-	began := e.inFlight.sentAt
-	if usable && e.config.Exchanger.HasOpen(same, began, now) {
-		chosen, ok := e.config.Tracker.choose([]descriptor.Upstream{same}, e.choiceInput(now), now)
-		if ok && e.awaitDelay(ctx, chosen) {
-			response, err := e.sendOver(ctx, chosen, last, began, time.Now())
-			var none *exchanger.NoConnectionError
-			if !errors.As(err, &none) {
-				return response, err
-			}
-		}
-	}
-	chosen, ok := e.pickOther(same.ID, now)
-	if !ok && usable {
+	var chosen choice
+	same, ok := e.sameUpstream(now)
+	if ok {
 		chosen, ok = e.config.Tracker.choose([]descriptor.Upstream{same}, e.choiceInput(now), now)
 	}
+	if !ok {
+		chosen, ok = e.pickUpstream(now)
+	}
 	if !ok || !e.awaitDelay(ctx, chosen) {
 		return nil, &NoUpstreamError{Build: e.build}
 	}
--- a/forwarder/pick.go
+++ b/forwarder/pick.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"maps"
 	"time"
 
 	"github.com/citronpier/citronpier/descriptor"
@@ -54,15 +53,6 @@
 	return append(list.LeavingOfBuild(e.build, now.Add(-e.leavingGrace())), list.UsableOfBuild(e.build, now)...)
 }
 
-// pickOther chooses an upstream other than the one with the given id, which still counts as
-// not tried.
-func (e *exchange) pickOther(id string, now time.Time) (choice, bool) {
-	tried := e.tried
-	defer func() { e.tried = tried }()
-	e.tried = withTried(maps.Clone(tried), id)
-	return e.pickUpstream(now)
-}
-
 // sameUpstream returns the upstream that the request was sent to last, and false if it may
 // not be sent new requests or runs another build now.
 func (e *exchange) sameUpstream(now time.Time) (descriptor.Upstream, bool) {
