--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -184,6 +184,11 @@
 		return
 	}
 	c.usedBefore = true
+	p.keep(c, h)
+}
+
+// keep adds an idle connection to the pool.
+func (p *pool) keep(c *conn, h http.Header) {
 	c.idleSince = time.Now()
 	c.expires = c.idleSince.Add(idleTimeout(h))
 	p.mu.Lock()
--- a/exchanger/probe.go
+++ b/exchanger/probe.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return fmt.Errorf("probe upstream %s: %w", u.ID, err)
 	}
-	e.pool.release(c, nil)
+	e.pool.keep(c, nil)
 	return nil
 }
 
