Go on with a broken stream at an upstream that has said it leaves

What callers saw: nothing yet.

Cause: such an upstream is not chosen any more, and the choice for the rest of a stream had no grace for it, unlike the last choice among leaving upstreams.

Evidence: TestInterruptedStreamRunsOnTwoUpstreamsAsTheFirstLeaves: u0, then u1 before; u0 twice now.

--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -89,7 +89,8 @@
 	var chosen choice
 	same, ok := e.sameUpstream(now)
 	if ok {
-		chosen, ok = e.config.Tracker.choose([]descriptor.Upstream{same}, e.choiceInput(now), now)
+		input := e.choiceInput(now).withLeavingGrace(e.leavingGrace())
+		chosen, ok = e.config.Tracker.choose([]descriptor.Upstream{same}, input, now)
 	}
 	if !ok {
 		chosen, ok = e.pickUpstream(now)
--- a/forwarder/notice_test.go
+++ b/forwarder/notice_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/citronpier/citronpier/descriptor"
 )
 
@@ -22,6 +24,24 @@
 	return true
 }
 
+// The route allows one upstream, and the one that broke the stream off still serves.
+func TestInterruptedStreamRunsOnTwoUpstreamsAsTheFirstLeaves(t *testing.T) {
+	f := newFixture()
+	breakLeaving := func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nLeaving: 1\r\n\r\nid: 1\ndata: d1\n\nid: 2\nda", r.Header.Get("Id"))
+		return false
+	}
+	near := f.upstreamOf(t, "u0", "s", "v1", breakLeaving, streamEvents(0))
+	far := f.upstreamOf(t, "u1", "s", "v1", streamEvents(0))
+	far.DataCentre = "far"
+	f.start(t, descriptor.Stream{Resumable: true}, 1, near, far)
+	outcome, body := f.serve(t, request())
+	arrived, _ := f.received()
+	if diff := cmp.Diff([]any{"200", threeEvents, []string{"u0:", "u0:1"}}, []any{outcome, body, arrived}); diff != "" {
+		t.Errorf("outcome, body, arrivals (-want +got):\n%s", diff)
+	}
+}
+
 func TestUpstreamThatSaidItLeavesGetsNewRequests(t *testing.T) {
 	for name, first := range map[string]script{"answer": answerLeaving, "refusal": answerNotRunLeaving} {
 		t.Run(name, func(t *testing.T) {
