Don't run a broken stream on a second upstream because of the first one's limit

Cause: if the limit that the upstream names allowed no request in time, the rest of the stream was asked for elsewhere, although the upstream lives. Evidence: TestInterruptedStreamRunsOnTwoUpstreams, 'Limit': u1 was asked before. Change: nobody is asked; the stream is cut, and its caller may resume it.

--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -39,7 +40,11 @@
 func (codec) HasStamp(http.Header) bool { return true }
 
 func (codec) Notice(h http.Header) exchanger.Notice {
-	return exchanger.Notice{Leaving: h.Get("Leaving") != ""}
+	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	if err != nil {
+		limit = 0
+	}
+	return exchanger.Notice{Limit: limit, Leaving: h.Get("Leaving") != ""}
 }
 
 // script answers one request as an upstream and reports whether the connection
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -83,7 +83,8 @@
 
 // sendForRest sends the request for the events after the event with the id last: to the
 // same upstream if it is usable, as a route may allow one upstream only, and otherwise to
-// another one.
+// another one. If the limit that the same upstream names allows no request in time, nobody is
+// asked.
 func (e *exchange) sendForRest(ctx context.Context, last string) (*exchanger.Response, error) {
 	now := time.Now()
 	var chosen choice
@@ -92,7 +93,7 @@
 		input := e.choiceInput(now).withLeavingGrace(e.leavingGrace())
 		chosen, ok = e.config.Tracker.choose([]descriptor.Upstream{same}, input, now)
 	}
-	if !ok {
+	if !ok && chosen.delay == 0 {
 		chosen, ok = e.pickUpstream(now)
 	}
 	if !ok || !e.awaitDelay(ctx, chosen) {
--- a/forwarder/notice_test.go
+++ b/forwarder/notice_test.go
@@ -24,21 +24,35 @@
 	return true
 }
 
-// The route allows one upstream, and the one that broke the stream off still serves.
-func TestInterruptedStreamRunsOnTwoUpstreamsAsTheFirstLeaves(t *testing.T) {
-	f := newFixture()
-	breakLeaving := func(c net.Conn, r *http.Request) bool {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nLeaving: 1\r\n\r\nid: 1\ndata: d1\n\nid: 2\nda", r.Header.Get("Id"))
+// breakOff streams one event, says something of the upstream in the header, and breaks off.
+func breakOff(notice string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n\r\nid: 1\ndata: d1\n\nid: 2\nda", r.Header.Get("Id"), notice)
 		return false
 	}
-	near := f.upstreamOf(t, "u0", "s", "v1", breakLeaving, streamEvents(0))
-	far := f.upstreamOf(t, "u1", "s", "v1", streamEvents(0))
-	far.DataCentre = "far"
-	f.start(t, descriptor.Stream{Resumable: true}, 1, near, far)
-	outcome, body := f.serve(t, request())
-	arrived, _ := f.received()
-	if diff := cmp.Diff([]any{"200", threeEvents, []string{"u0:", "u0:1"}}, []any{outcome, body, arrived}); diff != "" {
-		t.Errorf("outcome, body, arrivals (-want +got):\n%s", diff)
+}
+
+// The route allows one upstream, and the one that broke the stream off still serves.
+func TestInterruptedStreamRunsOnTwoUpstreams(t *testing.T) {
+	for _, c := range []struct {
+		notice, outcome, body string
+		arrived               []string
+	}{
+		{"Leaving: 1", "200", threeEvents, []string{"u0:", "u0:1"}},
+		{"Limit: 0.01", "cut cut", "id: 1\ndata: d1\n\n", []string{"u0:"}},
+	} {
+		t.Run(c.notice, func(t *testing.T) {
+			f := newFixture()
+			near := f.upstreamOf(t, "u0", "s", "v1", breakOff(c.notice), streamEvents(0))
+			far := f.upstreamOf(t, "u1", "s", "v1", streamEvents(0))
+			far.DataCentre = "far"
+			f.start(t, descriptor.Stream{Resumable: true}, 1, near, far)
+			outcome, body := f.serve(t, request())
+			arrived, _ := f.received()
+			if diff := cmp.Diff([]any{c.outcome, c.body, c.arrived}, []any{outcome, body, arrived}); diff != "" {
+				t.Errorf("outcome, body, arrivals (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
