--- a/challenger/crash_test.go
+++ b/challenger/crash_test.go
@@ -93,6 +93,9 @@
 	callers.Wait()
 	time.Sleep(2 * restartDelay)
 	fx.stopEnded()
+	if count := fx.crashes.count(); count < 3 {
+		t.Errorf("the request crashed only %d upstreams", count)
+	}
 	fx.crashes.check(t)
 	fx.mu.Lock()
 	defer fx.mu.Unlock()
@@ -192,14 +195,19 @@
 	return len(c.arrivals) == 3
 }
 
+func (c *crashes) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.arrivals)
+}
+
 // check checks how often the request reached upstreams later than knownWithin after it
-// crashed the third.
+// crashed the third, if it crashed so many.
 func (c *crashes) check(t *testing.T) {
 	t.Helper()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.arrivals) < 3 {
-		t.Logf("the request crashed only %d upstreams", len(c.arrivals))
 		return
 	}
 	late := 0
