Tell hosts that start which reports of crashes were withdrawn

What callers saw: nothing yet. A host that starts reads which requests are refused from the store. If such a request was answered after its record was written, all other hosts had withdrawn the reports, and this host alone would have refused the request for ten minutes.

Cause: hosts told others, in pings and at a start, only the reports that count.

Evidence: TestRequestIsRefusedByHostThatMissedTheWithdrawal failed before. Found by reading the change again.

Change: withdrawn reports are told as well until they lapse. Left: all hosts die after the withdrawal; nobody knows of it then.

--- a/gossiper/crash.go
+++ b/gossiper/crash.go
@@ -13,7 +13,7 @@
 	// Learn keeps a report of another host, and returns what to tell other hosts: the report,
 	// or that it is withdrawn. It returns false if this is known.
 	Learn(c *messenger.Crash, now time.Time) (*messenger.Crash, bool)
-	// Known returns the reports that count.
+	// Known returns the reports that have not lapsed, withdrawn ones too.
 	Known(now time.Time) []*messenger.Crash
 }
 
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -235,7 +235,8 @@
 	return withdrawn
 }
 
-// Reports returns the reports that count, of at most the given number of requests.
+// Reports returns the reports that have not lapsed, withdrawn ones too, of at most the given
+// number of requests.
 func (i *Isolator) Reports(most int, now time.Time) []Report {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -247,7 +248,7 @@
 	return reports
 }
 
-// ReportsOf returns the reports that count of one request.
+// ReportsOf returns the reports of one request that have not lapsed, withdrawn ones too.
 func (i *Isolator) ReportsOf(f Fingerprint, now time.Time) []Report {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -257,8 +258,14 @@
 // reportsOf implements ReportsOf. The caller must hold mu.
 func (i *Isolator) reportsOf(f Fingerprint, now time.Time) []Report {
 	var reports []Report
-	for crash, s := range i.counted(f, now) {
-		reports = append(reports, Report{Fingerprint: f, Crash: crash, Ran: s.endedAt.Sub(s.beganAt), Ago: now.Sub(s.endedAt)})
+	crashes, _ := i.suspects.Peek(f)
+	for crash, s := range crashes {
+		if i.lapsed(s, now) {
+			continue
+		}
+		reports = append(reports, Report{
+			Fingerprint: f, Crash: crash, Ran: s.endedAt.Sub(s.beganAt), Ago: now.Sub(s.endedAt), Withdrawn: s.withdrawn,
+		})
 	}
 	return reports
 }
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// A record of the store may hold reports that were withdrawn later.
+func TestRequestIsRefusedByHostThatMissedTheWithdrawal(t *testing.T) {
+	i, started := newIsolator(), newIsolator()
+	for n := range 3 {
+		suspect(i, "f", n, at(n))
+		suspect(started, "f", n, at(n))
+	}
+	i.Answered("f", at(3))
+	for _, r := range i.Reports(10, at(3)) {
+		started.Learn(r, at(3))
+	}
+	if diff := cmp.Diff(isolator.Verdict(isolator.Clear{}), started.Verdict("f", at(3))); diff != "" {
+		t.Errorf("verdict (-want +got):\n%s", diff)
+	}
+}
+
 func TestAnsweredRequestIsRefusedAfterUpstreamsEndedTogether(t *testing.T) {
 	i := newIsolator()
 	i.Answered("poll", start)
