--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -173,108 +173,111 @@
 	}
 }
 
-// Two requests are sent in a row to an upstream that answers in a given way. The
-// cases check the results and whether the second request reuses the connection.
-func TestResponses(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		script func(c net.Conn, id string) bool
-		want   []string
-		// connections is the total number of connections that the two requests use.
-		connections int64
-	}{
-		{"whole", func(c net.Conn, id string) bool {
-			reply(c, id, "ok")
-			return true
-		}, []string{"ok", "ok"}, 1},
-		{"connection closed within the body", func(c net.Conn, id string) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\nok", id)
-			return false
-		}, []string{"incomplete", "incomplete"}, 2},
-		{"connection closed within a chunked body", func(c net.Conn, id string) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", id)
-			return false
-		}, []string{"incomplete", "incomplete"}, 2},
-		{"body that ends with the connection", func(c net.Conn, id string) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nok", id)
-			return false
-		}, []string{"ok", "ok"}, 2},
-		{"connection reset within the body", func(c net.Conn, id string) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nok", id)
-			time.Sleep(20 * time.Millisecond)
-			return reset(c)
-		}, []string{"incomplete", "incomplete"}, 2},
-		{"malformed response", func(c net.Conn, _ string) bool {
-			_, _ = io.WriteString(c, "!!\r\n\r\n")
-			return false
-		}, []string{"incomplete", "incomplete"}, 2},
-		{"duplicate response right after the first", func(c net.Conn, id string) bool {
-			reply(c, id, "ok")
-			if id == "1" {
-				reply(c, id, "again")
-			}
-			return true
-		}, []string{"ok", "ok"}, 2},
-		{"duplicate response before the second", func(c net.Conn, id string) bool {
-			if id == "2" {
-				reply(c, "1", "late")
-			}
-			reply(c, id, "ok")
-			return true
-		}, []string{"ok", "ok"}, 1},
-		{"only responses to other requests", func(c net.Conn, _ string) bool {
-			for range 5 {
-				reply(c, "other", "no")
-			}
-			return true
-		}, []string{"incomplete", "incomplete"}, 2},
-		{"success without proof", func(c net.Conn, id string) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nUnproved: 1\r\nContent-Length: 2\r\n\r\nok", id)
-			return true
-		}, []string{"incomplete", "incomplete"}, 2},
-		{"not run", func(c net.Conn, id string) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
-			return true
-		}, []string{"not run", "not run"}, 1},
-		{"rejected by another incarnation", func(c net.Conn, id string) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 No\r\nId: %s\r\nContent-Length: 2\r\n\r\nno", id)
-			return true
-		}, []string{"not run", "not run"}, 1},
-		{"not run, without an id", func(c net.Conn, _ string) bool {
+// responseCases are the ways in which an upstream answers two requests in a row.
+var responseCases = []struct {
+	name   string
+	script func(c net.Conn, id string) bool
+	want   []string
+	// connections is the total number of connections that the two requests use.
+	connections int64
+}{
+	{"whole", func(c net.Conn, id string) bool {
+		reply(c, id, "ok")
+		return true
+	}, []string{"ok", "ok"}, 1},
+	{"connection closed within the body", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\nok", id)
+		return false
+	}, []string{"incomplete", "incomplete"}, 2},
+	{"connection closed within a chunked body", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", id)
+		return false
+	}, []string{"incomplete", "incomplete"}, 2},
+	{"body that ends with the connection", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nok", id)
+		return false
+	}, []string{"ok", "ok"}, 2},
+	{"connection reset within the body", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nok", id)
+		time.Sleep(20 * time.Millisecond)
+		return reset(c)
+	}, []string{"incomplete", "incomplete"}, 2},
+	{"malformed response", func(c net.Conn, _ string) bool {
+		_, _ = io.WriteString(c, "!!\r\n\r\n")
+		return false
+	}, []string{"incomplete", "incomplete"}, 2},
+	{"duplicate response right after the first", func(c net.Conn, id string) bool {
+		reply(c, id, "ok")
+		if id == "1" {
+			reply(c, id, "again")
+		}
+		return true
+	}, []string{"ok", "ok"}, 2},
+	{"duplicate response before the second", func(c net.Conn, id string) bool {
+		if id == "2" {
+			reply(c, "1", "late")
+		}
+		reply(c, id, "ok")
+		return true
+	}, []string{"ok", "ok"}, 1},
+	{"only responses to other requests", func(c net.Conn, _ string) bool {
+		for range 5 {
+			reply(c, "other", "no")
+		}
+		return true
+	}, []string{"incomplete", "incomplete"}, 2},
+	{"success without proof", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nUnproved: 1\r\nContent-Length: 2\r\n\r\nok", id)
+		return true
+	}, []string{"incomplete", "incomplete"}, 2},
+	{"not run", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+		return true
+	}, []string{"not run", "not run"}, 1},
+	{"rejected by another incarnation", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 No\r\nId: %s\r\nContent-Length: 2\r\n\r\nno", id)
+		return true
+	}, []string{"not run", "not run"}, 1},
+	{"not run, without an id", func(c net.Conn, _ string) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}, []string{"not run", "not run"}, 2},
+	{"rejected by another incarnation, without an id", func(c net.Conn, _ string) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 421 No\r\nContent-Length: 2\r\n\r\nno")
+		return true
+	}, []string{"not run", "not run"}, 2},
+	{"earlier refusal once more, without an id", func(c net.Conn, id string) bool {
+		if id == "2" {
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
-			return true
-		}, []string{"not run", "not run"}, 2},
-		{"rejected by another incarnation, without an id", func(c net.Conn, _ string) bool {
-			_, _ = io.WriteString(c, "HTTP/1.1 421 No\r\nContent-Length: 2\r\n\r\nno")
-			return true
-		}, []string{"not run", "not run"}, 2},
-		{"earlier refusal once more, without an id", func(c net.Conn, id string) bool {
-			if id == "2" {
-				_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
-			}
+		}
+		reply(c, id, "ok")
+		return true
+	}, []string{"ok", "ok"}, 1},
+	{"earlier refusal once more", func(c net.Conn, id string) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		if id == "2" {
+			reply(c, id, "ok")
+		}
+		return true
+	}, []string{"not run", "ok"}, 1},
+	{"earlier refusal in place of the answer", func(c net.Conn, id string) bool {
+		if id == "1" {
 			reply(c, id, "ok")
 			return true
-		}, []string{"ok", "ok"}, 1},
-		{"earlier refusal once more", func(c net.Conn, id string) bool {
-			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
-			if id == "2" {
-				reply(c, id, "ok")
-			}
-			return true
-		}, []string{"not run", "ok"}, 1},
-		{"earlier refusal in place of the answer", func(c net.Conn, id string) bool {
-			if id == "1" {
-				reply(c, id, "ok")
-				return true
-			}
-			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
-			return false
-		}, []string{"ok", "incomplete"}, 1},
-		{"closing", func(c net.Conn, id string) bool {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", id)
-			return true
-		}, []string{"ok", "ok"}, 2},
-	} {
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return false
+	}, []string{"ok", "incomplete"}, 1},
+	{"closing", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", id)
+		return true
+	}, []string{"ok", "ok"}, 2},
+}
+
+// Two requests are sent in a row to an upstream that answers in a given way. The
+// cases check the results and whether the second request reuses the connection.
+func TestResponses(t *testing.T) {
+	for _, c := range responseCases {
 		t.Run(c.name, func(t *testing.T) {
 			u := serve(t, func(conn net.Conn, r *http.Request, _ int) bool { return c.script(conn, r.Header.Get("Id")) })
 			e := newExchanger()
