--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -114,6 +114,11 @@
 			return err
 		}
 	}
+	return d.awaitReady(count)
+}
+
+// awaitReady waits until all hosts are ready and known to each other.
+func (d *deployment) awaitReady(count int) error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) {
 		if d.allKnown(count) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 	"gone":   playGone,
 	"frozen": playFrozen,
 	"budget": playBudget,
+	"thaw":   playThaw,
 }
 
 func main() { os.Exit(play()) }
