--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -55,14 +55,15 @@
 
 	mu         sync.Mutex
 	partitions map[partitionKey]*partition
-	// writer is the host that last appended under a condition, and writtenAt when.
-	writer    int
-	writtenAt time.Time
-	servers   []*http.Server
+	// writer is the host that last appended under a condition; -1 if none has. writes has the
+	// number of such appends by host.
+	writer  int
+	writes  map[int]int
+	servers []*http.Server
 }
 
 func newStore(r *record, retention time.Duration) *store {
-	return &store{record: r, retention: retention, partitions: make(map[partitionKey]*partition), writer: -1}
+	return &store{record: r, retention: retention, partitions: make(map[partitionKey]*partition), writer: -1, writes: make(map[int]int)}
 }
 
 // lastWriter returns the host that last appended under a condition; -1 if none has.
@@ -72,6 +73,24 @@
 	return s.writer
 }
 
+// busiestWriter calls f and returns the host that appended most often under a condition
+// meanwhile.
+func (s *store) busiestWriter(f func()) int {
+	s.mu.Lock()
+	clear(s.writes)
+	s.mu.Unlock()
+	f()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	busiest, most := 0, 0
+	for host, n := range s.writes {
+		if n > most {
+			busiest, most = host, n
+		}
+	}
+	return busiest
+}
+
 // serve serves the calls of one host at an address.
 func (s *store) serve(address string, host int) error {
 	l, err := net.Listen("tcp4", address)
@@ -157,7 +176,8 @@
 		return 0, p.end(), false
 	}
 	if at >= 0 && host >= 0 {
-		s.writer, s.writtenAt = host, time.Now()
+		s.writer = host
+		s.writes[host]++
 	}
 	offset = p.end()
 	for _, data := range records {
--- a/review/standin/thaw.go
+++ b/review/standin/thaw.go
@@ -11,7 +11,7 @@
 	// thawFreeze is how long the host stands still.
 	thawFreeze = 2 * time.Second
 	// thawPrograms is the number of programs, and thawBudget the budget of each: two turns.
-	thawPrograms = 60
+	thawPrograms = 90
 	thawBudget   = 2 * turnTokens
 	// thawPause is the pause before each event, so that a turn takes 2.9 s.
 	thawPause = 90 * time.Millisecond
@@ -22,7 +22,7 @@
 // playThaw freezes a host while two sub-agents each of many programs begin.
 func playThaw(d *deployment, trouble bool) (bool, error) {
 	d.startStore(300*time.Second, fmt.Sprintf(chatRoutes, 1, false, true))
-	for range 6 {
+	for range 8 {
 		if _, err := d.addUpstream("models", 24, func(u *upstream) {
 			u.stream = func(body string) (int, time.Duration) {
 				if body == warmBody {
@@ -40,18 +40,22 @@
 	if err := d.warm(); err != nil {
 		return false, err
 	}
+	frozen := d.hosts[d.store.busiestWriter(d.warmRound)]
+	time.Sleep(2 * time.Second)
 	if trouble {
-		d.hosts[0].signal(syscall.SIGSTOP)
-		d.record.say("host 0 stands still for %s", thawFreeze)
+		frozen.signal(syscall.SIGSTOP)
+		d.record.say("host %d, which writes most to the store, stands still for %s", frozen.number, thawFreeze)
 		time.AfterFunc(thawFreeze, func() {
-			d.hosts[0].signal(syscall.SIGCONT)
-			d.record.logf("host 0 goes on")
+			frozen.signal(syscall.SIGCONT)
+			d.record.logf("host %d goes on", frozen.number)
 		})
 	}
 	var all sync.WaitGroup
 	tokens, answers := make([]int, thawPrograms), make([]int, thawPrograms)
 	for n := range tokens {
-		all.Go(func() { tokens[n], answers[n] = d.loop(fmt.Sprintf("looping%d", n), d.hosts[1+n%2]) })
+		all.Go(func() {
+			tokens[n], answers[n] = d.loop(fmt.Sprintf("looping%d", n), d.hosts[(frozen.number+1+n%2)%len(d.hosts)])
+		})
 	}
 	all.Wait()
 	over, most, answered := 0, 0, 0
@@ -75,11 +79,7 @@
 
 // warm lets programs run, and then stops and starts each host once, as planned.
 func (d *deployment) warm() error {
-	var all sync.WaitGroup
-	for n := range warmPrograms {
-		all.Go(func() { d.programTurn(fmt.Sprintf("warm%d", n), warmBody, d.hosts[n%len(d.hosts)]) })
-	}
-	all.Wait()
+	d.warmRound()
 	for _, h := range d.hosts {
 		h.signal(syscall.SIGTERM)
 		<-h.ended
@@ -94,6 +94,15 @@
 	return nil
 }
 
+// warmRound lets each of some programs take a turn.
+func (d *deployment) warmRound() {
+	var all sync.WaitGroup
+	for n := range warmPrograms {
+		all.Go(func() { d.programTurn(fmt.Sprintf("warm%d", n), warmBody, d.hosts[n%len(d.hosts)]) })
+	}
+	all.Wait()
+}
+
 // loop plays a program that begins with two sub-agents and then goes on until its budget is
 // spent. It returns the tokens that the program got, and the turns that were answered whole.
 func (d *deployment) loop(program string, h *host) (tokens, answered int) {
