Refuse requests that outlast a planned stop

Cause: a stopping host passed on each request that arrived in its drain period, however long it might take, and aborted what still ran 0.4 s before the end of the grace period. Nothing compared a request's deadline with that end.

Change: while a host stops, a request whose deadline lies beyond the last moment at which a response can be written is refused as not run, at once, with the connection closed and a time to come back. The check stands before each send too, as a stop may begin while a request waits for a limit or for its home.

--- a/entry.go
+++ b/entry.go
@@ -92,8 +92,9 @@
 	// incarnation identifies this run of the host and is never reused.
 	incarnation string
 	started     time.Time
-	// leaving is true once a planned stop has begun.
-	leaving atomic.Bool
+	// lastDeadline is set once a planned stop has begun: requests with a later deadline are
+	// refused, as the host would abort them.
+	lastDeadline atomic.Pointer[time.Time]
 	// peersKnown is true once the host has had time to receive the answers of
 	// the other hosts. Before that, the host would compute that it is the home of
 	// every shard.
@@ -176,6 +177,7 @@
 		RemoteLoads:   e.remoteLoads,
 		RemoteDemand:  e.remoteDemand,
 		Drain:         c.Drain,
+		LastDeadline:  e.latestDeadline,
 		Isolator:      e.isolator,
 		ReportCrash:   e.reportCrash,
 		Homes:         e.navigator,
@@ -300,15 +302,11 @@
 	return enforcer.Limits{Header: limits.HeaderTime, Idle: limits.Idle}
 }
 
-// Stopping reports whether the host is stopping, so that callers should open
-// their next connection to another host.
-func (e *Entry) Stopping() bool { return e.leaving.Load() }
-
 // Ready reports whether the host accepts requests: it has read the upstreams
 // and a configuration, knows the other hosts and is not stopping.
 func (e *Entry) Ready() bool {
 	_, listed := e.watcher.List()
-	return listed && e.peersKnown.Load() && e.watcher.Configuration().Version > 0 && !e.leaving.Load()
+	return listed && e.peersKnown.Load() && e.watcher.Configuration().Version > 0 && !e.Stopping()
 }
 
 // announceChange is called when the configuration, the upstreams or the readiness
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -72,7 +72,7 @@
 	c.builtAt = now
 	c.loads, c.demands = sumReports(e.gossiper.Loads(now))
 	var homes, callers []descriptor.Host
-	if !e.leaving.Load() {
+	if !e.Stopping() {
 		homes = append(homes, e.config.Host)
 	}
 	if e.Ready() {
@@ -140,7 +140,7 @@
 		Datacentre:  e.config.Host.DataCentre,
 		Caller:      e.config.Host.Caller,
 		Ready:       e.Ready(),
-		Leaving:     e.leaving.Load(),
+		Leaving:     e.Stopping(),
 		Stored:      e.relayer.ReachesDirectly(time.Now()),
 	}
 	return m, e.watcher.Configuration().Version
--- a/entry_status.go
+++ b/entry_status.go
@@ -74,7 +74,7 @@
 		Host:           e.config.Host,
 		Incarnation:    e.incarnation,
 		Ready:          e.Ready(),
-		Leaving:        e.leaving.Load(),
+		Leaving:        e.Stopping(),
 		Configuration:  e.watcher.Configuration().Version,
 		StoreReachable: e.relayer.ReachesDirectly(now),
 		Active:         e.active.Load(),
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -22,6 +22,9 @@
 	// retryAfterNoUpstream is the delay after which a caller should retry when the
 	// service-discovery list has no usable upstream of the service.
 	retryAfterNoUpstream = 500 * time.Millisecond
+	// retryAfterStopping is the delay after which a caller should retry when this host is
+	// stopping. Another host takes the request at once.
+	retryAfterStopping = 10 * time.Millisecond
 )
 
 // exchange is the state of one request from its arrival to its outcome.
@@ -118,14 +121,8 @@
 // returns the outcome of the request.
 func (e *exchange) send(ctx context.Context, after string) (*exchanger.Response, Outcome) {
 	for {
-		if o := e.contextOutcome(ctx); o != nil {
-			return nil, o
-		}
-		if o := e.contextOutcome(e.caller); o != nil {
-			return nil, o
-		}
 		now := time.Now()
-		if o := e.quarantined(now); o != nil {
+		if o := e.unsendable(ctx, now); o != nil {
 			return nil, o
 		}
 		chosen, ok := e.pickUpstream(now)
@@ -148,6 +145,34 @@
 	}
 }
 
+// unsendable returns the outcome of a request that must not be sent to an upstream any more,
+// and nil if it may be sent.
+func (e *exchange) unsendable(ctx context.Context, now time.Time) Outcome {
+	if o := e.contextOutcome(ctx); o != nil {
+		return o
+	}
+	if o := e.contextOutcome(e.caller); o != nil {
+		return o
+	}
+	if o := e.quarantined(now); o != nil {
+		return o
+	}
+	return e.outlastsStop()
+}
+
+// outlastsStop returns the outcome of a request that no upstream may have run yet and that
+// this host would abort in its planned stop, and nil for other requests.
+func (e *exchange) outlastsStop() Outcome {
+	if e.config.LastDeadline == nil || e.mayHaveRun {
+		return nil
+	}
+	latest, stopping := e.config.LastDeadline()
+	if !stopping || !e.deadline.After(latest) {
+		return nil
+	}
+	return refused(refuser.New(refuser.Leaving, "the host is stopping and would abort the request").WithRetry(retryAfterStopping))
+}
+
 // sendTo sends the request to one upstream and waits for the header of the response.
 func (e *exchange) sendTo(ctx context.Context, chosen choice, after string, now time.Time) (*exchanger.Response, error) {
 	u := chosen.Upstream
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -62,6 +62,10 @@
 	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
 	// known.
 	Drain time.Duration
+	// LastDeadline returns the latest deadline of a request that may still be sent to an
+	// upstream, and false unless this host is stopping: it aborts what runs longer. nil
+	// means that the host never stops.
+	LastDeadline func() (time.Time, bool)
 	// Isolator counts the upstreams that each request crashed, and ReportCrash tells other
 	// hosts what this one has counted.
 	Isolator    *isolator.Isolator
@@ -156,6 +160,9 @@
 	if !e.request.Deadline.IsZero() && e.request.Deadline.Before(e.deadline) {
 		e.deadline = e.request.Deadline
 	}
+	if o := e.outlastsStop(); o != nil {
+		return o
+	}
 	limited, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.caller = limited
