Read quiet shards again, as another host may have been their home

Cause: a home writes only those records again that it has read. A home that stood still doesn't know that another host was home meanwhile, and it read a shard once, so that the other one's records were dropped by the store after its retention. Two hosts with differing views of the membership do the same without a pause.

Change: a visit of a shard, once in an eighth of the retention, reads it to its end unless this home has read or appended at its end since the last visit.

Evidence: TestTurnOfAnInterimHomeIsLostAfterFreeze failed before with each of five freezes, and passes.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -310,8 +310,8 @@
 
 // Tick does the periodic work on all shards in memory: it drops expired state,
 // writes deferred settlements, and rewrites records that the store would soon drop.
-// If the store drops records, Tick also reads the shards that this host is home of,
-// a few at a time.
+// If the store drops records, Tick also visits the shards that this host is home of,
+// a few at a time: it reads what other homes have recorded there.
 // For a shard whose home is now another host, it releases the allowances, and drops
 // the shard once the shard is idle.
 func (k *Keeper) Tick(now time.Time) {
@@ -327,7 +327,6 @@
 			}
 			continue
 		}
-		s.noteOtherHome()
 		s.releaseAllowances()
 		if s.isIdle(now) {
 			k.mu.Lock()
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -36,9 +36,8 @@
 	// hadOtherWriter is set once the partition is known to have records that another
 	// home, or an earlier incarnation of this host, has written.
 	hadOtherWriter bool
-	// hadOtherHome is set if another host was home of the shard after the partition was
-	// read to its end.
-	hadOtherHome bool
+	// readSinceVisit is set if the partition was known to its end after the last visit.
+	readSinceVisit bool
 	// end is the offset of the first record that is not applied yet.
 	end     int64
 	decoder decoder
@@ -123,7 +122,10 @@
 	if err != nil {
 		return
 	}
-	s.loaded, s.hadOtherHome = true, false
+	if s.loaded {
+		return
+	}
+	s.loaded = true
 	s.logger.Info().Int64("end", s.end).Int("turns", s.tree.Len()).Int("programs", len(s.accounts)).
 		Dur("took_ms", time.Since(start)).Msg("shard loaded")
 }
@@ -174,8 +176,9 @@
 		if err != nil {
 			return fmt.Errorf("read %s from %d: %w", s.partition, from, err)
 		}
-		s.applyPage(page, own, time.Now())
-		if from+int64(len(page.Values)) >= page.End {
+		atEnd := from+int64(len(page.Values)) >= page.End
+		s.applyPage(page, own, time.Now(), atEnd)
+		if atEnd {
 			return nil
 		}
 		if len(page.Values) == 0 {
@@ -196,10 +199,11 @@
 }
 
 // applyPage applies the records of one read. own is the batch of an append with
-// unknown outcome, or nil.
-func (s *shard) applyPage(page connector.Records, own *batch, now time.Time) {
+// unknown outcome, or nil. atEnd is true if the partition ended with these records.
+func (s *shard) applyPage(page connector.Records, own *batch, now time.Time, atEnd bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.readSinceVisit = s.readSinceVisit || atEnd
 	for _, record := range page.Values {
 		b, err := s.decoder.next(record)
 		if err != nil {
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -231,6 +231,7 @@
 		case err == nil:
 			s.mu.Lock()
 			s.end = offset + int64(len(b.records))
+			s.readSinceVisit = true
 			s.applyOwn(b, time.Now())
 			s.mu.Unlock()
 			return true, nil
