Don't send requests that became unwanted in a wait

Cause: a request that may run once is detached from its caller from its arrival on. The sending loop looked at the caller once a round and then waited, for its part of a limit that the upstream names or for a connection, and sent. A stop of the host and a quarantine of the request that began in the wait were overlooked too, for requests of each kind.

Change: one function says what forbids sending; it is asked at the start of a round, after the wait for a limit, and before the first byte is written to an open connection. Waits end when the caller leaves.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -26,6 +26,9 @@
 	LastEventID string
 	// HeaderTimeout is the longest wait for the header of the response; 0 means no limit.
 	HeaderTimeout time.Duration
+	// Withdrawn reports whether the request must not be sent any more. It is asked once the
+	// connection is open, before the first byte is written. nil means that it may be sent.
+	Withdrawn func(now time.Time) bool
 }
 
 // Codec encodes the platform's header fields of a request and decodes those of
@@ -55,6 +58,12 @@
 	Leaving bool
 }
 
+// WithdrawnError reports that the request was not sent, as Attempt.Withdrawn demanded.
+type WithdrawnError struct{}
+
+// Error implements the error interface.
+func (*WithdrawnError) Error() string { return "the request was withdrawn before it was sent" }
+
 // NotRunError reports that the upstream answered that it did not run the
 // request. A retry is safe.
 type NotRunError struct {
@@ -147,6 +156,10 @@
 	if err != nil {
 		return nil, &connector.UnsentError{Upstream: u.ID, Cause: err}
 	}
+	if a.Withdrawn != nil && a.Withdrawn(time.Now()) {
+		e.pool.keepUnused(c)
+		return nil, &connector.UnsentError{Upstream: u.ID, Cause: &WithdrawnError{}}
+	}
 	stopInterrupt := context.AfterFunc(ctx, c.interrupt)
 	response, err := e.exchangeWithDeadline(c, u, a)
 	if elapsed := time.Since(now); err != nil && c.usedBefore && elapsed < idleLossWindow && isConnectionClosed(err) {
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -187,6 +187,16 @@
 	p.keep(c, h)
 }
 
+// keepUnused returns a connection that was acquired and not used. A connection that has
+// carried a request is closed: when the upstream closes it is no longer known.
+func (p *pool) keepUnused(c *conn) {
+	if c.usedBefore {
+		c.close()
+		return
+	}
+	p.keep(c, nil)
+}
+
 // keep adds an idle connection to the pool.
 func (p *pool) keep(c *conn, h http.Header) {
 	c.idleSince = time.Now()
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -22,7 +22,7 @@
 func (e *exchange) serveCall(ctx context.Context) Outcome {
 	if _, once := e.route.Kind.(descriptor.Once); once {
 		// A request that may run at most once is not cancelled when the caller
-		// disconnects; only its deadline ends it.
+		// disconnects after it was sent; only its deadline ends it then.
 		limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.deadline)
 		defer cancel()
 		ctx = limited
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -126,7 +126,7 @@
 			return nil, o
 		}
 		chosen, ok := e.pickUpstream(now)
-		if !ok && e.awaitShare(ctx, chosen, now) {
+		if !ok && e.awaitShare(chosen, now) {
 			continue
 		}
 		if !ok {
@@ -146,7 +146,9 @@
 }
 
 // unsendable returns the outcome of a request that must not be sent to an upstream any more,
-// and nil if it may be sent.
+// and nil if it may be sent. It is asked after each wait: the caller may have left, the deadline
+// may have passed, the host may be stopping, or the request may have crashed upstreams. ctx is
+// the context of the send, which outlives the caller of a request that may run once.
 func (e *exchange) unsendable(ctx context.Context, now time.Time) Outcome {
 	if o := e.contextOutcome(ctx); o != nil {
 		return o
@@ -186,6 +188,7 @@
 		Urgency:       e.route.Urgency,
 		LastEventID:   after,
 		HeaderTimeout: e.headerTimeout(now),
+		Withdrawn:     func(now time.Time) bool { return e.unsendable(ctx, now) != nil },
 	}, now)
 	e.learnNotice(u, response, err)
 	if err != nil {
@@ -211,10 +214,11 @@
 
 // resultOfSendError returns how the error of a failed send counts in the health of
 // the upstream. It returns resultUnknown if the upstream answered that it did not run
-// the request, or if the request was cancelled.
+// the request, or if the request was cancelled or withdrawn.
 func (e *exchange) resultOfSendError(ctx context.Context, err error) result {
 	var notRun *exchanger.NotRunError
-	if ctx.Err() != nil || errors.As(err, &notRun) {
+	var withdrawn *exchanger.WithdrawnError
+	if ctx.Err() != nil || errors.As(err, &notRun) || errors.As(err, &withdrawn) {
 		return resultUnknown
 	}
 	return resultFailed
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -11,12 +11,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
@@ -116,6 +118,11 @@
 type fixture struct {
 	forwarder *forwarder.Forwarder
 	home      *fakeHome
+	isolator  *isolator.Isolator
+	// stopping makes the host stop at once.
+	stopping atomic.Bool
+	// dial opens connections to upstreams.
+	dial connector.Dial
 
 	mu sync.Mutex
 	// list is the service-discovery list.
@@ -278,7 +285,10 @@
 func newFixture() *fixture {
 	const maxBound = 16
 	home := &fakeHome{verdict: messenger.BeginReply_RESERVED, bound: make(chan *messenger.BindRequest, maxBound)}
-	return &fixture{home: home, listeners: make(map[string]net.Listener)}
+	return &fixture{
+		home: home, listeners: make(map[string]net.Listener), dial: exchanger.NewDial(exchanger.UnackedUpstream),
+		isolator: isolator.New(isolator.Policy{Crashes: 3, Overlapping: 2, Quarantine: time.Minute}),
+	}
 }
 
 // drain is how long the test upstreams serve on after they have begun to leave.
@@ -299,15 +309,16 @@
 		Services: map[string]descriptor.Service{"s": {Name: "s", TokensPerEvent: 18}},
 	}
 	f.forwarder = forwarder.New(forwarder.Config{
-		Isolator: isolator.New(isolator.Policy{Crashes: 3, Overlapping: 2, Quarantine: time.Minute}), ReportCrash: func(isolator.Report) {},
+		Isolator: f.isolator, ReportCrash: func(isolator.Report) {},
 		RemoteDemand:  func(string, time.Time) forwarder.RemoteDemand { return forwarder.RemoteDemand{Telling: 1, Hosts: 1} },
 		Shards:        4,
 		Configuration: func() descriptor.Configuration { return configuration },
 		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
 		Drain:         drain,
+		LastDeadline:  func() (time.Time, bool) { return time.Now(), f.stopping.Load() },
 		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
 		Homes:         f.home,
-		Exchanger:     exchanger.New(codec{}, exchanger.NewDial(exchanger.UnackedUpstream)),
+		Exchanger:     exchanger.New(codec{}, f.dial),
 		Tracker:       &forwarder.UpstreamTracker{},
 		Counters:      &counter.Set{},
 		Logger:        zerolog.Nop(),
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -120,22 +120,24 @@
 
 // awaitShare waits, once for a request, until other hosts know the demand of this one, if no
 // upstream takes the request before. It returns false if that is not so.
-func (e *exchange) awaitShare(ctx context.Context, rejected choice, now time.Time) bool {
+func (e *exchange) awaitShare(rejected choice, now time.Time) bool {
 	if rejected.delay <= 0 || rejected.delay > e.maxDelay(now) || e.shareAwaited {
 		return false
 	}
 	e.shareAwaited = true
-	waiter.Sleep(ctx, rejected.delay)
+	waiter.Sleep(e.caller, rejected.delay)
 	return true
 }
 
-// awaitDelay waits until the request may be sent to the chosen upstream. It returns false if
-// the upstream may not be sent requests any more by then, or if ctx has ended.
+// awaitDelay waits until the request may be sent to the chosen upstream, or until the caller
+// has left or the deadline has passed. It returns false if the request may not be sent to the
+// upstream any more.
 func (e *exchange) awaitDelay(ctx context.Context, chosen choice) bool {
 	if chosen.delay <= 0 {
 		return true
 	}
-	waiter.Sleep(ctx, chosen.delay)
+	waiter.Sleep(e.caller, chosen.delay)
+	now := time.Now()
 	list, _ := e.config.Upstreams()
-	return ctx.Err() == nil && list.IsUsable(chosen.ID, time.Now())
+	return e.unsendable(ctx, now) == nil && list.IsUsable(chosen.ID, now)
 }
