Let a home withdraw its own reservation of a turn only

Cause: an entry host gives up a Begin at a home that stands still and asks the next one, under whose reservation the turn runs. The first home wakes, carries out the old call, finds it given up and settled the turn with 0 tokens, in the store, for all homes. The turn's true settlement then found no reservation and was dropped. A test that plays calls late and in any order showed two more ways: the End of a turn was counted nowhere at a home that had not read its reservation, and a home let a turn run under a reservation that another home may withdraw.

Change: a reservation belongs to the homes that hold it. A home that gives up withdraws its own (a record of 0 tokens, as for allowances). A turn runs under a reservation of the home that let it run. Homes remember the last settled turns, so that late calls for them change nothing and a second settlement isn't added. An End without a reservation counts.

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/citronpier/citronpier/budgeter"
-	"github.com/citronpier/citronpier/messenger"
-	"github.com/citronpier/citronpier/recorder"
 )
 
 // account is the budget state of one program and its open reservations.
@@ -14,6 +12,9 @@
 	// reservations holds, by turn, the reservations whose settlement is not in the
 	// store yet.
 	reservations map[string]*reservation
+	// ended has the turns that were settled lately, also by other homes. withdrawn has those
+	// for which this home has withdrawn its reservation.
+	ended, withdrawn recentTurns
 	// otherAllowances holds the allowances of other homes, by the incarnation of the
 	// home.
 	otherAllowances map[string]int64
@@ -29,51 +30,117 @@
 	sumWritten time.Time
 }
 
-// reservation is the part of a budget that is set aside for one turn. All amounts
-// are in tokens.
+// reservation is the part of a budget that is set aside for one turn. Several homes may hold
+// it: an entry host that gives up on one home asks the next one. All amounts are in tokens.
 type reservation struct {
 	// maxTokens is the maximum that the turn can generate.
 	maxTokens int64
 	// generated is what the turn generated. It is valid once settled is set.
 	generated int64
-	// settled is set once the turn has ended.
+	// settled is set once the turn has ended at this home.
 	settled bool
-	// recorded is set once the reservation is in the store.
+	// held is set while this home holds the reservation: it has told an entry host that the
+	// turn may run. A turn runs only under a reservation of the home that it was told by,
+	// whatever other homes hold.
+	held bool
+	// holders has the other homes whose records hold the reservation, by incarnation.
+	holders map[string]bool
+	// recorded is set once the reservation of each home that holds it is in the store.
 	recorded bool
-	// change is the queued record of the reservation, or nil.
+	// change is the queued record of this home's reservation, or nil.
 	change *change
 }
 
-// applyOtherReservation applies a reservation that another home recorded.
-func (a *account) applyOtherReservation(turn string, maxTokens int64) {
-	if _, ok := a.reservations[turn]; ok {
+// applyOtherReservation applies a reservation that another home recorded. One of 0 tokens
+// withdraws the home's earlier reservation for the turn.
+func (a *account) applyOtherReservation(writer, turn string, maxTokens int64) {
+	if maxTokens <= 0 {
+		a.applyOtherWithdrawal(writer, turn)
 		return
 	}
-	a.reservations[turn] = &reservation{maxTokens: maxTokens, recorded: true}
-	a.escrow.Reserved += maxTokens
+	if a.ended.has(turn) {
+		return
+	}
+	res, ok := a.reservations[turn]
+	if !ok {
+		res = &reservation{maxTokens: maxTokens, recorded: true}
+		a.reservations[turn] = res
+		a.escrow.Reserved += maxTokens
+	}
+	if res.holders == nil {
+		res.holders = make(map[string]bool)
+	}
+	res.holders[writer] = true
+}
+
+// applyOtherWithdrawal applies another home's withdrawal of its reservation for a turn. The
+// turn may run under the reservation of a further home.
+func (a *account) applyOtherWithdrawal(writer, turn string) {
+	res, ok := a.reservations[turn]
+	if !ok || !res.holders[writer] {
+		return
+	}
+	delete(res.holders, writer)
+	a.dropUnheld(turn, res)
+}
+
+// dropUnheld drops a reservation that no home holds any more. It is not settled: a turn
+// that ended was held.
+func (a *account) dropUnheld(turn string, res *reservation) {
+	if res.held || res.settled || len(res.holders) > 0 {
+		return
+	}
+	delete(a.reservations, turn)
+	a.escrow = a.escrow.WithSettled(res.maxTokens, 0, res.recorded)
 }
 
 // applyOtherSettlement applies a settlement that another home recorded. A turn
 // without a reservation was covered by the other home's allowance. The whole allowance
 // already counts as spent, and the turn's tokens are nevertheless added to Settled. So
-// these tokens may be counted twice.
+// these tokens may be counted twice. Of several settlements of a turn the largest counts.
 // written is when the settlement was written to the store.
 func (a *account) applyOtherSettlement(turn string, generated int64, written time.Time) {
 	if a.sumWritten.IsZero() {
 		a.sumWritten = written
 	}
 	res, ok := a.reservations[turn]
-	if !ok {
-		a.escrow.Settled += generated
-		return
-	}
-	delete(a.reservations, turn)
-	if !res.settled {
+	if ok && !res.settled {
+		generated = res.settle(generated)
 		a.escrow = a.escrow.WithSettled(res.maxTokens, generated, res.recorded)
+		a.ended.add(turn, generated)
+	}
+	a.escrow.Settled += a.ended.add(turn, generated)
+	if ok {
+		a.dropSettled(turn, res)
 	}
+}
+
+// dropSettled drops the reservation of a turn whose settlement is in the store.
+func (a *account) dropSettled(turn string, res *reservation) {
+	delete(a.reservations, turn)
 	if !res.recorded {
-		a.escrow = a.escrow.WithRecorded(min(res.maxTokens, generated))
+		a.escrow = a.escrow.WithRecorded(res.generated)
+	}
+}
+
+// settle marks the turn of a reservation as ended. It returns what the turn generated, which
+// is at most what was reserved.
+func (r *reservation) settle(generated int64) int64 {
+	r.settled = true
+	r.generated = min(r.maxTokens, max(0, generated))
+	return r.generated
+}
+
+// unrecordedSettlements returns the tokens of the turns that have ended at this home and whose
+// settlements are not in the store yet. They are a part of the escrow's Settled.
+func (a *account) unrecordedSettlements() int64 {
+	sum := int64(0)
+	for _, res := range a.reservations {
+		if res.settled {
+			sum += res.generated
+		}
 	}
+	return sum
 }
 
 // applyOtherSpending applies a sum of settlements that another home recorded. The
@@ -103,21 +170,11 @@
 func (a *account) applyRecorded(c *change) {
 	switch k := c.kind.(type) {
 	case reservationChange:
-		res, ok := a.reservations[k.turn]
-		if !ok || res.recorded {
-			return
-		}
-		res.recorded = true
-		res.change = nil
-		amount := res.maxTokens
-		if res.settled {
-			amount = res.generated
-		}
-		a.escrow = a.escrow.WithRecorded(amount)
+		a.applyRecordedReservation(c, k.turn)
 	case turnChange:
-		a.applyRecordedSettlement(k.turn.GetId())
+		a.applyRecordedSettlement(k.turn.GetId(), k.turn.GetGenerated())
 	case settlementChange:
-		a.applyRecordedSettlement(k.turn)
+		a.applyRecordedSettlement(k.turn, k.generated)
 	case rewriteSpendingChange:
 		a.sumWritten = k.taken
 	case allowanceChange:
@@ -125,189 +182,50 @@
 	}
 }
 
-// applyRecordedSettlement drops the reservation of a turn whose settlement is now
-// in the store.
-func (a *account) applyRecordedSettlement(turn string) {
+// applyRecordedReservation marks this home's reservation for a turn as recorded.
+func (a *account) applyRecordedReservation(c *change, turn string) {
 	res, ok := a.reservations[turn]
-	if !ok {
+	if !ok || res.change != c {
 		return
 	}
-	delete(a.reservations, turn)
-	if !res.recorded {
-		a.escrow = a.escrow.WithRecorded(res.generated)
+	res.recorded = true
+	res.change = nil
+	amount := res.maxTokens
+	if res.settled {
+		amount = res.generated
 	}
+	a.escrow = a.escrow.WithRecorded(amount)
 }
 
-// settle settles a turn's reservation in memory. It returns false if the turn has
-// no reservation or was settled before.
-func (a *account) settle(turn string, generated int64) bool {
+// applyRecordedSettlement drops the reservation of a turn whose settlement is now
+// in the store.
+func (a *account) applyRecordedSettlement(turn string, generated int64) {
 	res, ok := a.reservations[turn]
-	if !ok || res.settled {
-		return false
-	}
-	res.settled = true
-	res.generated = min(res.maxTokens, max(0, generated))
-	a.escrow = a.escrow.WithSettled(res.maxTokens, res.generated, res.recorded)
-	return true
-}
-
-// reserve sets aside the maximum number of tokens that a turn can generate, if the
-// budget covers them. A repeated call for the same turn reserves nothing more; it returns
-// an *EndedError if the turn's reservation was settled meanwhile. If
-// the verdict is RecordFirst, the caller waits for the returned change, if there is
-// one, and tries again. If it is EscrowReserved, the turn may run once the returned
-// change, if there is one, is in the store: a turn that no record and no allowance
-// covers is run by the first home of a shard only, because each home that dies may
-// leave one.
-func (s *shard) reserve(r *messenger.BeginRequest, now time.Time) (budgeter.Verdict, *change, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a := s.account(r.GetProgram(), time.Duration(r.GetRetention())*time.Millisecond, now)
-	a.escrow.Budget = r.GetBudget()
-	if res, ok := a.reservations[r.GetTurn()]; ok {
-		if res.settled {
-			return nil, nil, &EndedError{Turn: r.GetTurn()}
-		}
-		return budgeter.EscrowReserved{}, s.changeBeforeRun(res), nil
-	}
-	escrow, verdict := a.escrow.WithReservation(r.GetMost())
-	switch v := verdict.(type) {
-	case budgeter.RecordFirst:
-		pending, err := s.recordReservations(r.GetProgram(), a)
-		return v, pending, err
-	case budgeter.EscrowReserved:
-		a.escrow = escrow
-		res := &reservation{maxTokens: r.GetMost()}
-		a.reservations[r.GetTurn()] = res
-		if v.RecordNow {
-			_, err := s.recordReservations(r.GetProgram(), a)
-			return v, s.changeBeforeRun(res), err
-		}
-	}
-	return verdict, nil, nil
-}
-
-// EndedError reports that a turn which is to begin has ended or was given up before.
-type EndedError struct{ Turn string }
-
-// Error returns a message with the turn's id.
-func (e *EndedError) Error() string { return "turn " + e.Turn + " has ended already" }
-
-// changeBeforeRun returns the queued record of a reservation if it has to be in the store
-// before the turn runs, and nil otherwise. The caller holds mu.
-func (s *shard) changeBeforeRun(res *reservation) *change {
-	if !s.hadOtherWriter {
-		return nil
-	}
-	return res.change
-}
-
-// recordReservations queues the account's unrecorded reservations for the store,
-// and an allowance if this home has none. It returns one of the queued changes, or nil
-// if nothing is left to write. A caller that waits for the returned change then calls
-// reserve again, so it need not wait for the other changes: if too much is still
-// unrecorded, reserve returns another change to wait for. The caller holds mu.
-func (s *shard) recordReservations(program string, a *account) (*change, error) {
-	pending, err := s.enqueueReservations(program, a)
-	if err != nil {
-		return nil, err
-	}
-	if wanted := a.escrow.WantedAllowance(); a.requestedAllowance == 0 && wanted > 0 {
-		pending = newChange(program, allowanceChange{amount: wanted})
-		if err := s.enqueue(pending); err != nil {
-			return nil, err
-		}
-		a.requestedAllowance = wanted
-	}
-	if pending == nil {
-		// All unrecorded reservations are settled. Their settlements may be among
-		// the deferred changes, so the deferred changes are queued now.
-		pending = s.flushDeferredLocked()
-	}
-	return pending, nil
-}
-
-// enqueueReservations queues the account's unrecorded open reservations for the
-// store. It returns one of the queued changes, or nil if there is none. The caller
-// holds mu.
-func (s *shard) enqueueReservations(program string, a *account) (*change, error) {
-	var pending *change
-	for turn, res := range a.reservations {
-		if res.recorded || res.settled {
-			continue
-		}
-		if res.change == nil {
-			res.change = newChange(program, reservationChange{turn: turn, maxTokens: res.maxTokens, retention: a.retention})
-			if err := s.enqueue(res.change); err != nil {
-				res.change = nil
-				return nil, err
-			}
-		}
-		pending = res.change
-	}
-	return pending, nil
-}
-
-// settle settles a turn's reservation in memory. The settlement of a turn that is
-// not retained is deferred to the next append. A retained turn needs no separate
-// settlement: its record also settles the reservation in the store.
-func (s *shard) settle(r *messenger.EndRequest, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sessionUpstreams.set(r.GetSession(), r.GetUpstream(), now)
-	s.programUpstreams.set(r.GetProgram(), r.GetUpstream(), now)
-	a, ok := s.accounts[r.GetProgram()]
 	if !ok {
 		return
 	}
-	a.lastUsed = now
-	if a.settle(r.GetTurn(), r.GetGenerated()) && !r.GetRetain() {
-		s.deferred = append(s.deferred, newChange(r.GetProgram(), settlementChange{turn: r.GetTurn(), generated: r.GetGenerated()}))
+	if !res.settled {
+		// Another home's reservation was read after the turn had ended here.
+		a.escrow = a.escrow.WithSettled(res.maxTokens, res.settle(generated), res.recorded)
 	}
+	a.dropSettled(turn, res)
 }
 
-// deferSettlement defers the settlement of a turn to the next append. It is called
-// for turns that are recorded in a fallback shard: the record there does not settle
-// the reservation in this shard.
-func (s *shard) deferSettlement(r *messenger.EndRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.deferred = append(s.deferred, newChange(r.GetProgram(), settlementChange{turn: r.GetTurn(), generated: r.GetGenerated()}))
-}
-
-// releaseAllowances gives back the allowances of this home. Open reservations that
-// an allowance covered until now are recorded first.
-func (s *shard) releaseAllowances() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for program, a := range s.accounts {
-		if a.requestedAllowance == 0 {
-			continue
-		}
-		a.requestedAllowance = 0
-		// From now on the allowance covers no further turn, although the record
-		// that gives the allowance back is not in the store yet.
-		a.escrow.Allowance = 0
-		_, err := s.enqueueReservations(program, a)
-		if err == nil {
-			err = s.enqueue(newChange(program, allowanceChange{}))
-		}
-		if err != nil {
-			s.logger.Warn().Err(err).Str("program", program).Msg("allowance not released")
-		}
+// settle settles a turn's reservation in memory. It returns false if the turn was settled
+// before. A turn without a reservation runs under that of another home, which this one has
+// not read yet.
+func (a *account) settle(turn string, generated int64) bool {
+	if a.ended.has(turn) {
+		return false
 	}
-}
-
-// turnRecord returns the store's record of a completely answered turn.
-func turnRecord(r *messenger.EndRequest) *recorder.Turn {
-	return &recorder.Turn{
-		Id:        r.GetTurn(),
-		Previous:  r.GetPrevious(),
-		Input:     r.GetInput(),
-		Output:    r.GetOutput(),
-		Retention: r.GetRetention(),
-		Program:   r.GetProgram(),
-		Session:   r.GetSession(),
-		Generated: r.GetGenerated(),
+	res, ok := a.reservations[turn]
+	if !ok {
+		res = &reservation{maxTokens: max(0, generated)}
+		a.reservations[turn] = res
+		a.escrow.Reserved += res.maxTokens
+		a.escrow.Unrecorded += res.maxTokens
 	}
+	a.escrow = a.escrow.WithSettled(res.maxTokens, res.settle(generated), res.recorded)
+	a.ended.add(turn, res.generated)
+	return true
 }
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -28,7 +28,8 @@
 	previousChain []byte
 }
 
-// reservationChange records a reservation of maxTokens tokens for a turn.
+// reservationChange records a reservation of maxTokens tokens for a turn, or, with 0, withdraws
+// the one that this home has recorded.
 type reservationChange struct {
 	turn      string
 	maxTokens int64
--- a/keeper/reservation.go
+++ b/keeper/reservation.go
@@ -85,7 +85,7 @@
 			}
 		default:
 			if pending != nil && !k.awaitChange(ctx, pending) {
-				s.settle(&messenger.EndRequest{Program: r.GetProgram(), Turn: r.GetTurn()}, now)
+				s.withdraw(r)
 				return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the reservation is not recorded yet"}
 			}
 			return &messenger.BeginReply{Verdict: messenger.BeginReply_RESERVED}
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -228,7 +228,7 @@
 	s.hadOtherWriter = true
 	for _, h := range b.GetHolds() {
 		s.account(h.GetProgram(), time.Duration(h.GetRetention())*time.Millisecond, now).
-			applyOtherReservation(h.GetTurn(), h.GetMost())
+			applyOtherReservation(b.GetWriter(), h.GetTurn(), h.GetMost())
 	}
 	age := max(0, now.Sub(time.UnixMilli(b.GetWritten())))
 	written := now.Add(-age)
