Bound the memory of all responses together

Cause: heads, events, bodies and the texts of turns are bounded one by one, and their sum is not: 12 upstreams of 210 connections may hold gigabytes of a host's 244 MB. Answers of other hosts had no bound at all.

Change: package allocator, a pool of a quarter of the process's memory. Heads, buffers, texts of turns, and the answers of the store and of other hosts take from it as they grow; each may hold half of what the others leave. What exceeds its share fails as an incomplete response, with the retry reason "memory". The splitter of events no longer copies and searches its whole buffer for each piece.

Evidence: TestEndlessResponsesTakeTheMemoryOfAllRequests plays 11 forms, without end and standing still, 400 at once beside normal requests.

--- a/counter/counter.go
+++ b/counter/counter.go
@@ -47,6 +47,7 @@
 	RetryHome          Retry = "home"     // the home (owner) of the program, shard or upstream failed or has changed
 	RetryRefused       Retry = "refused"  // the upstream replied that it did not run the request
 	RetryUnsent        Retry = "unsent"   // the request did not reach the upstream
+	RetryMemory        Retry = "memory"   // the response exceeded its share of the memory for responses
 	RetryOverdue       Retry = "overdue"  // the response did not begin within its time limit
 	RetryFallbackShard Retry = "aside"    // a turn was recorded in a fallback shard
 	RetryFailed        Retry = "failed"   // the upstream ran the request and replied with an error status
--- a/entry.go
+++ b/entry.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
@@ -40,7 +41,7 @@
 }
 
 // EntryConfig holds the parameters of an Entry. All fields are required except
-// Seeds, Retention, Dial, Grace and Drain.
+// Seeds, Retention, Dial, Memory, Grace and Drain.
 type EntryConfig struct {
 	// Host describes this host. Its ID is its peer address.
 	Host descriptor.Host
@@ -77,6 +78,9 @@
 	// Dial opens connections to upstreams and other hosts. If it is nil,
 	// exchanger.NewDial is used.
 	Dial connector.Dial
+	// Memory is what the responses of upstreams and of other hosts take their memory from.
+	// nil means that it is not bounded.
+	Memory *allocator.Pool
 	// Grace is the grace period: how long a planned stop may take; 0 means 8 s.
 	Grace time.Duration
 	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
@@ -167,8 +171,8 @@
 		Counters:       &e.counters,
 		Logger:         e.config.Logger,
 	})
-	e.exchanger = exchanger.New(c.Codec, dialOr(c.Dial, exchanger.UnackedUpstream))
-	e.peers.dial = dialOr(c.Dial, exchanger.UnackedPeer)
+	e.exchanger = exchanger.New(c.Codec, dialOr(c.Dial, exchanger.UnackedUpstream)).WithMemory(c.Memory)
+	e.peers.dial, e.peers.memory = dialOr(c.Dial, exchanger.UnackedPeer), c.Memory
 	e.forwarder = forwarder.New(forwarder.Config{
 		DataCentre:    c.Host.DataCentre,
 		Shards:        len(c.Shards),
@@ -180,6 +184,7 @@
 		LastDeadline:  e.latestDeadline,
 		Isolator:      e.isolator,
 		ReportCrash:   e.reportCrash,
+		Memory:        c.Memory,
 		Homes:         e.navigator,
 		Exchanger:     e.exchanger,
 		Tracker:       &e.tracker,
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/keeper"
@@ -29,10 +30,12 @@
 	return p.Mirror.Find(ctx, r)
 }
 
-// peerClients creates and caches the clients of other hosts. dial must be set
+// peerClients creates and caches the clients of other hosts. dial and memory must be set
 // before the first call of get.
 type peerClients struct {
 	dial connector.Dial
+	// memory is what responses take their memory from; nil is no limit.
+	memory *allocator.Pool
 
 	mu      sync.Mutex
 	http    *http.Client
@@ -44,6 +47,8 @@
 	peerConnections = 16
 	// peerIdleTimeout is how long an idle connection to another host is kept.
 	peerIdleTimeout = 20 * time.Second
+	// peerHeaderBytes is the maximum size of the header of a response of another host.
+	peerHeaderBytes = 64 << 10
 )
 
 // get returns the client of the host at a peer address. All clients share one
@@ -55,12 +60,13 @@
 		return c
 	}
 	if p.http == nil {
-		p.http = &http.Client{Transport: &http.Transport{
-			DialContext:         p.dial,
-			MaxIdleConnsPerHost: peerConnections,
-			IdleConnTimeout:     peerIdleTimeout,
-			DisableCompression:  true,
-		}}
+		p.http = &http.Client{Transport: &allocator.Transport{Pool: p.memory, Base: &http.Transport{
+			DialContext:            p.dial,
+			MaxIdleConnsPerHost:    peerConnections,
+			IdleConnTimeout:        peerIdleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: peerHeaderBytes,
+		}}}
 		p.clients = make(map[string]peerClient)
 	}
 	url := "http://" + address
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -2,9 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
-	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/descriptor"
 )
 
@@ -22,12 +20,12 @@
 // conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	// limited reads from the connection, and bounds the bytes of a header that are
-	// still read. reader reads from limited.
-	limited *io.LimitedReader
-	reader  *bufio.Reader
-	key     incarnationKey
-	pool    *pool
+	// header reads from the connection, and bounds what is read of a header. reader reads
+	// from header.
+	header *headerReader
+	reader *bufio.Reader
+	key    incarnationKey
+	pool   *pool
 	// usedBefore is true once the connection has carried a request and been returned
 	// to the pool.
 	usedBefore bool
@@ -47,8 +45,8 @@
 
 // newConn returns a conn of a pool for an open connection.
 func newConn(raw net.Conn, k incarnationKey, p *pool) *conn {
-	limited := &io.LimitedReader{R: raw, N: math.MaxInt64}
-	return &conn{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBuffer), key: k, pool: p}
+	header := &headerReader{source: raw}
+	return &conn{Conn: raw, header: header, reader: bufio.NewReaderSize(header, readBuffer), key: k, pool: p}
 }
 
 // interrupt makes pending and later reads and writes fail at once.
@@ -138,28 +136,16 @@
 	return int(n), err
 }
 
-// maxHeaderBytes is the maximum size in bytes of the header of a response, together with
-// the interim responses before it.
-const maxHeaderBytes = 256 << 10
-
-// HeaderTooLongError reports that an upstream sent more than maxHeaderBytes without
-// completing the header of a response.
-type HeaderTooLongError struct{}
-
-// Error implements the error interface.
-func (*HeaderTooLongError) Error() string {
-	return fmt.Sprintf("header of the response is longer than %d bytes", maxHeaderBytes)
-}
-
 // readHeader reads the header of the next response and skips interim responses
-// (status 1xx). The method of the request decides whether a body follows.
-func (c *conn) readHeader(method string) (*http.Response, error) {
-	c.limited.N = maxHeaderBytes
-	defer func() { c.limited.N = math.MaxInt64 }()
+// (status 1xx). The method of the request decides whether a body follows. grant is the memory
+// of the header.
+func (c *conn) readHeader(method string, grant *allocator.Grant) (*http.Response, error) {
+	c.header.begin(grant)
+	defer c.header.end()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil && c.limited.N == 0 {
-			return nil, &HeaderTooLongError{}
+		if c.header.err != nil {
+			return nil, c.header.err
 		}
 		if err != nil {
 			return nil, err
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 )
@@ -126,6 +127,8 @@
 type Exchanger struct {
 	codec Codec
 	pool  pool
+	// memory is what the headers of responses take their memory from; nil is no limit.
+	memory *allocator.Pool
 	// Stats may be read while requests are in flight.
 	Stats Stats
 }
@@ -147,6 +150,13 @@
 	return e
 }
 
+// WithMemory sets what the headers of responses take their memory from. It changes e, returns
+// e, and must be called before the first request.
+func (e *Exchanger) WithMemory(p *allocator.Pool) *Exchanger {
+	e.memory = p
+	return e
+}
+
 // Send sends a request and returns the response once its header has arrived. The
 // caller must close the response. If ctx ends while the response is open, reads fail
 // and the connection is closed. The error is a *connector.UnsentError if no byte
@@ -213,8 +223,10 @@
 	}
 	// An upstream may reject a long body before it has read all of it. The response
 	// is therefore read even if the write failed halfway through.
-	response, err := e.readResponse(c, a.Request)
+	grant := e.memory.Grant()
+	response, err := e.readResponse(c, a.Request, grant)
 	if err != nil {
+		grant.Release()
 		c.interrupt()
 		w := writing.wait()
 		if w.unsent() {
@@ -224,11 +236,13 @@
 	}
 	requestWritten := writing.hasFinished() && writing.wait().err == nil
 	if e.codec.NotRun(response.StatusCode, response.Header) {
+		grant.Release()
 		named := e.codec.RequestID(response.Header) != ""
 		c.notReusable = c.misdeliveredSeen || !named || !requestWritten || response.Close || discardBody(response) != nil
 		return nil, &NotRunError{Upstream: u.ID, Status: response.StatusCode, Notice: e.codec.Notice(response.Header)}
 	}
 	if response.StatusCode < http.StatusMultipleChoices && !e.codec.HasStamp(response.Header) {
+		grant.Release()
 		return nil, &IncompleteError{Upstream: u.ID, Cause: &NoStampError{Status: response.StatusCode}}
 	}
 	c.notReusable = c.misdeliveredSeen || !requestWritten || response.Close
@@ -240,6 +254,7 @@
 		body:       response.Body,
 		conn:       c,
 		pool:       &e.pool,
+		grant:      grant,
 		upstreamID: u.ID,
 	}, nil
 }
@@ -253,9 +268,9 @@
 // duplicate response to an earlier request; such a response echoes another request
 // id and is skipped. A response without an id is accepted on a new connection only: on
 // another one it may be an earlier refusal once more, of a request that the upstream runs.
-func (e *Exchanger) readResponse(c *conn, r descriptor.Request) (*http.Response, error) {
+func (e *Exchanger) readResponse(c *conn, r descriptor.Request, grant *allocator.Grant) (*http.Response, error) {
 	for misdelivered := 0; ; misdelivered++ {
-		response, err := c.readHeader(r.Method)
+		response, err := c.readHeader(r.Method, grant)
 		if err != nil {
 			return nil, err
 		}
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/citronpier/citronpier/allocator"
 )
 
 // Response is an upstream's response whose header has arrived. The body is read with
@@ -19,6 +21,8 @@
 	body io.ReadCloser
 	conn *conn
 	pool *pool
+	// grant is the memory of the header.
+	grant *allocator.Grant
 	// stopInterrupt detaches conn from the context of Send. It returns false if
 	// that context has already ended and interrupted conn.
 	stopInterrupt func() bool
@@ -45,6 +49,7 @@
 // Close returns the connection to the pool if the body was read to io.EOF and
 // the context of Send has not ended. Otherwise it closes the connection.
 func (r *Response) Close() {
+	r.grant.Release()
 	interrupted := !r.stopInterrupt()
 	if r.bodyComplete && !interrupted {
 		r.pool.release(r.conn, r.Header)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -86,7 +86,7 @@
 // stops at this limit, truncated is true and the response stays open so that the rest
 // can be read; otherwise it closes the response.
 func (e *exchange) bufferResponse(ctx context.Context, response *exchanger.Response) (body []byte, truncated bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(response, maxBufferedResponse))
+	body, err = e.readBody(response)
 	if err == nil && len(body) == maxBufferedResponse {
 		return body, true, nil
 	}
@@ -94,6 +94,41 @@
 	return body, false, err
 }
 
+// minBodyBuffer is the first size of the buffer of a body, in bytes.
+const minBodyBuffer = 4 << 10
+
+// readBody reads up to maxBufferedResponse bytes of the body of a response. Too much beside
+// other responses is an *exchanger.IncompleteError.
+func (e *exchange) readBody(response *exchanger.Response) ([]byte, error) {
+	body := make([]byte, 0, minBodyBuffer)
+	for len(body) < maxBufferedResponse {
+		if len(body) == cap(body) {
+			if err := e.reserveMemory(2 * cap(body)); err != nil {
+				return body, err
+			}
+			body = append(make([]byte, 0, 2*cap(body)), body...)
+		}
+		n, err := response.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+	return body, nil
+}
+
+// reserveMemory takes the memory for what the request keeps of a response, in bytes. The error
+// is an *exchanger.IncompleteError: the rest of the response is not read.
+func (e *exchange) reserveMemory(bytes int) error {
+	if err := e.memory.Resize(int64(bytes)); err != nil {
+		return &exchanger.IncompleteError{Upstream: e.upstream.ID, Cause: err}
+	}
+	return nil
+}
+
 // resultOfServerError returns how a response with a status of 500 or above counts in
 // the health of the upstream. For a stream it counts as a complete failure, because
 // the turn has to be run again. For a call it counts less, because the caller gets
--- a/forwarder/event.go
+++ b/forwarder/event.go
@@ -7,8 +7,10 @@
 
 // splitter splits a stream of server-sent events into complete events.
 type splitter struct {
-	// buffer has the bytes after the last complete event.
+	// buffer has the bytes of the stream from the events that the last push returned on.
 	buffer []byte
+	// returned is the number of bytes of these events.
+	returned int
 }
 
 // maxEventBytes is the maximum size of an event in bytes.
@@ -26,26 +28,35 @@
 // including the blank line that ends it. The returned slices are valid until the next
 // push. The error is an *EventTooLongError.
 func (s *splitter) push(p []byte) ([][]byte, error) {
+	s.buffer = append(s.buffer[:0], s.buffer[s.returned:]...)
+	s.returned = 0
+	// The blank line of the first event may have begun in the bytes before.
+	searched := max(0, len(s.buffer)-maxBlankLineBytes)
 	s.buffer = append(s.buffer, p...)
 	var events [][]byte
-	rest := s.buffer
 	for {
-		end := eventEnd(rest)
+		end := eventEnd(s.buffer[searched:])
 		if end < 0 {
 			break
 		}
-		events = append(events, rest[:end:end])
-		rest = rest[end:]
+		events = append(events, s.buffer[s.returned:searched+end:searched+end])
+		searched += end
+		s.returned = searched
 	}
-	s.buffer = append([]byte(nil), rest...)
-	if len(s.buffer) > maxEventBytes {
+	if len(s.buffer)-s.returned > maxEventBytes {
 		return events, &EventTooLongError{}
 	}
 	return events, nil
 }
 
 // rest returns the bytes after the last complete event.
-func (s *splitter) rest() []byte { return s.buffer }
+func (s *splitter) rest() []byte { return s.buffer[s.returned:] }
+
+// size returns the memory of the splitter in bytes.
+func (s *splitter) size() int { return cap(s.buffer) }
+
+// maxBlankLineBytes is the size of the longest blank line between two events, in bytes.
+const maxBlankLineBytes = 4
 
 // eventEnd returns the length of the first event including its blank line, or -1 if p
 // contains no complete event.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
@@ -44,6 +45,9 @@
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 
+	// memory is what the request keeps of responses.
+	memory *allocator.Grant
+
 	// caller is done when the caller has disconnected or the deadline has passed.
 	caller context.Context
 	// upstream is the upstream to which the request was sent last, and inFlight
@@ -262,6 +266,10 @@
 	if errors.As(err, &overdue) {
 		return counter.RetryOverdue
 	}
+	var exhausted *allocator.ExhaustedError
+	if errors.As(err, &exhausted) {
+		return counter.RetryMemory
+	}
 	return counter.RetryUpstream
 }
 
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
@@ -123,6 +124,8 @@
 	stopping atomic.Bool
 	// dial opens connections to upstreams.
 	dial connector.Dial
+	// memory is what responses take their memory from; nil is no limit.
+	memory *allocator.Pool
 
 	mu sync.Mutex
 	// list is the service-discovery list.
@@ -318,7 +321,8 @@
 		LastDeadline:  func() (time.Time, bool) { return time.Now(), f.stopping.Load() },
 		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
 		Homes:         f.home,
-		Exchanger:     exchanger.New(codec{}, f.dial),
+		Memory:        f.memory,
+		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
 		Counters:      &counter.Set{},
 		Logger:        zerolog.Nop(),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
@@ -70,11 +71,13 @@
 	// hosts what this one has counted.
 	Isolator    *isolator.Isolator
 	ReportCrash func(r isolator.Report)
-	Homes       HomeClient
-	Exchanger   *exchanger.Exchanger
-	Tracker     *UpstreamTracker
-	Counters    *counter.Set
-	Logger      zerolog.Logger
+	// Memory is what requests take the memory for responses from; nil is no limit.
+	Memory    *allocator.Pool
+	Homes     HomeClient
+	Exchanger *exchanger.Exchanger
+	Tracker   *UpstreamTracker
+	Counters  *counter.Set
+	Logger    zerolog.Logger
 	// Background is the context of work that continues after a request has ended. It
 	// ends when the host stops.
 	Background context.Context
@@ -125,7 +128,10 @@
 // Serve forwards one request that arrived at now, writes the response to the sink,
 // and counts and logs the outcome. It returns when the request has ended.
 func (f *Forwarder) Serve(ctx context.Context, r descriptor.Request, sink Sink, now time.Time) Outcome {
-	e := &exchange{Forwarder: f, request: r, fingerprint: isolator.NewRequestFingerprint(r), sink: sink, began: now}
+	e := &exchange{
+		Forwarder: f, request: r, fingerprint: isolator.NewRequestFingerprint(r), sink: sink, memory: f.config.Memory.Grant(), began: now,
+	}
+	defer e.memory.Release()
 	outcome := f.serve(ctx, e, now)
 	ended := time.Now()
 	if o, ok := outcome.(Answered); ok && o.Status != http.StatusGatewayTimeout {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -134,6 +134,9 @@
 			if tooLong != nil {
 				return tooLong
 			}
+			if err := e.reserveMemory(s.size() + cap(t.output)); err != nil {
+				return err
+			}
 		}
 		switch {
 		case err == nil:
