Join a broken stream with its rest only

Cause: the response to a request for the rest of a stream was joined if its status was 200. Its type, whether its bytes are events, and with which event it begins were not looked at. A stream that its caller resumes had the same gaps.

Change: a rest must have the type of the stream that has begun, and its first event must follow the last one that the caller has. Bytes that are no event are a broken response, in each stream. A rest without an event that ends with its connection is one too.

Evidence: TestInterruptedStreamIsJoinedWithWhatIsNotItsRest failed in 24 of 30 cases before (error texts, heads, events twice or missing, streams complete without their end), TestCallerResumedStreamBeginsAtAnotherEvent in 3 of 3; both pass. TestStreamWithUnusualEventsIsCut has ten allowed forms that still pass.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -250,6 +250,7 @@
 		Status:     response.StatusCode,
 		Header:     response.Header,
 		Length:     response.ContentLength,
+		Unframed:   response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		Notice:     e.codec.Notice(response.Header),
 		body:       response.Body,
 		conn:       c,
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -17,6 +17,9 @@
 	Notice Notice
 	// Length is the length of the body in bytes; -1 means unknown.
 	Length int64
+	// Unframed is true if the body has neither a length nor chunks, and ends with the
+	// connection.
+	Unframed bool
 
 	body io.ReadCloser
 	conn *conn
--- a/forwarder/event.go
+++ b/forwarder/event.go
@@ -80,23 +80,70 @@
 	hasData bool
 }
 
-// parseEvent parses the id and data lines of an event and ignores all others.
-func parseEvent(p []byte) event {
+// MalformedEventError reports bytes in a stream that are no event, such as the text of an error
+// or the head of a response.
+type MalformedEventError struct {
+	// Line is the beginning of the first line that is wrong.
+	Line string
+}
+
+// Error implements the error interface.
+func (e *MalformedEventError) Error() string {
+	return fmt.Sprintf("line %q is not part of an event", e.Line)
+}
+
+// newMalformedEventError returns the error for a line.
+func newMalformedEventError(line []byte) error {
+	const maxLine = 80
+	return &MalformedEventError{Line: string(line[:min(len(line), maxLine)])}
+}
+
+// parseEvent parses the id and data lines of an event. The other lines may be comments and
+// fields, of which one at least has to be known: a field with any name may be the text of an
+// error. The error is a *MalformedEventError.
+func parseEvent(p []byte) (event, error) {
 	var e event
+	var unknown []byte
+	known := false
 	for line := range bytes.SplitSeq(p, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		name, value, _ := bytes.Cut(line, []byte(":"))
+		name, value, hasColon := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(name) {
+		switch string(bytes.TrimPrefix(name, byteOrderMark)) {
 		case "id":
 			e.id = string(value)
+			known = true
 		case "data":
 			if e.hasData {
 				e.data = append(e.data, '\n')
 			}
 			e.data = append(e.data, value...)
-			e.hasData = true
+			e.hasData, known = true, true
+		case "event", "retry", "":
+			known = known || len(line) > 0
+		default:
+			if !hasColon || !isFieldName(name) {
+				return event{}, newMalformedEventError(line)
+			}
+			unknown = line
+		}
+	}
+	if unknown != nil && !known {
+		return event{}, newMalformedEventError(unknown)
+	}
+	return e, nil
+}
+
+// byteOrderMark may precede the first event of a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// isFieldName reports whether an event may have a field with a name that is not one of the
+// standard ones.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
 		}
 	}
-	return e
+	return true
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -73,6 +73,8 @@
 	// build is the software that began the stream. Only upstreams that run it may go on
 	// with the stream. It is zero until the stream has begun, and for other requests.
 	build descriptor.Build
+	// mediaType is the type of the stream that has begun.
+	mediaType string
 	// unnumbered is true if the caller's last event with data has no id. Nothing names the
 	// point then after which the stream would have to go on.
 	unnumbered bool
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/citronpier/citronpier/counter"
@@ -70,17 +71,25 @@
 	return true
 }
 
-// restOf returns a response with the rest of a stream, or nil if its status is not 200.
+// restOf returns a response with the rest of a stream, or nil if its status is not 200 or its
+// type is not that of the stream: it is an error then.
 func (e *exchange) restOf(ctx context.Context, response *exchanger.Response, last string) *exchanger.Response {
-	if response.Status != http.StatusOK {
+	event := e.config.Logger.Info().Str("id", e.request.ID).Str("upstream", e.upstream.ID).Str("version", e.upstream.Version).Str("after", last)
+	if got := mediaType(response.Header); response.Status != http.StatusOK || got != e.mediaType {
+		event.Int("status", response.Status).Str("type", got).Msg("stream not resumed: the upstream answered with an error")
 		e.closeResponse(ctx, response, nil)
 		return nil
 	}
-	e.config.Logger.Info().Str("id", e.request.ID).Str("upstream", e.upstream.ID).Str("version", e.upstream.Version).
-		Str("after", last).Msg("stream resumed")
+	event.Msg("stream resumed")
 	return response
 }
 
+// mediaType returns the type of a response's body without its parameters, in lower case.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // sendForRest sends the request for the events after the event with the id last: to the
 // same upstream if it is usable, as a route may allow one upstream only, and otherwise to
 // another one. If the limit that the same upstream names allows no request in time, nobody is
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -57,18 +57,19 @@
 	e.firstByte = time.Now()
 	e.bindStream(t.kind)
 	e.sink.Head(response.Status, response.Header, -1)
-	last := e.request.LastEvent
+	e.mediaType = mediaType(response.Header)
+	ids := sequence{last: e.request.LastEvent}
 	for {
-		before := last
-		err := e.relayEvents(t, response, &last)
+		before := ids.last
+		err := e.relayEvents(t, response, &ids)
 		e.closeResponse(ctx, response, err)
 		if err == nil {
 			return e.finishStream(ctx, t)
 		}
-		if last != before {
+		if ids.last != before {
 			e.resumeRetries = 0
 		}
-		response = e.resumeInterrupted(ctx, t, last, err)
+		response = e.resumeInterrupted(ctx, t, ids.last, err)
 		if response == nil {
 			e.settleInBackground(t)
 			return e.cutOutcome(ctx, err)
@@ -114,10 +115,11 @@
 // Unwrap returns the cause.
 func (e *sinkError) Unwrap() error { return e.cause }
 
-// relayEvents sends complete events to the caller until the stream ends. It stores
-// the id of the latest event in last, so that an interrupted stream can be resumed.
-func (e *exchange) relayEvents(t *turn, response *exchanger.Response, last *string) error {
+// relayEvents sends complete events to the caller until the stream ends. It follows their
+// ids, so that an interrupted stream can be resumed.
+func (e *exchange) relayEvents(t *turn, response *exchanger.Response, ids *sequence) error {
 	var s splitter
+	ids.begin()
 	buffer := make([]byte, streamBuffer)
 	previous := time.Now()
 	for {
@@ -128,7 +130,7 @@
 				e.config.Tracker.recordEventInterval(e.inFlight, now.Sub(previous)/time.Duration(len(events)), now)
 				previous = now
 			}
-			if err := e.writeEvents(t, events, last); err != nil {
+			if err := e.writeEvents(t, events, ids); err != nil {
 				return err
 			}
 			if tooLong != nil {
@@ -141,7 +143,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			return e.endEvents(s.rest())
+			return e.endEvents(s.rest(), response, ids)
 		default:
 			return err
 		}
@@ -150,20 +152,14 @@
 
 // writeEvents sends complete events to the caller in one write. It counts their
 // tokens, and keeps their data if the turn is to be recorded. Too much data is an
-// *OutputTooLongError.
-func (e *exchange) writeEvents(t *turn, events [][]byte, last *string) error {
+// *OutputTooLongError. What is no event, or not the next one, is an
+// *exchanger.IncompleteError; the events before it are sent.
+func (e *exchange) writeEvents(t *turn, events [][]byte, ids *sequence) error {
 	var joined []byte
+	var wrong error
 	for _, raw := range events {
-		parsed := parseEvent(raw)
-		if parsed.id != "" {
-			*last = parsed.id
-		}
-		if parsed.hasData {
-			e.unnumbered = parsed.id == ""
-			e.generated += e.service.TokensPerEvent
-			if t.kind.Retain {
-				t.output = append(append(t.output, parsed.data...), '\n')
-			}
+		if wrong = e.acceptEvent(t, raw, ids); wrong != nil {
+			break
 		}
 		joined = append(joined, raw...)
 	}
@@ -171,11 +167,32 @@
 		return &OutputTooLongError{}
 	}
 	if len(joined) == 0 {
-		return nil
+		return wrong
 	}
 	if err := e.sink.Body(joined); err != nil {
 		return &sinkError{cause: err}
 	}
+	return wrong
+}
+
+// acceptEvent counts the tokens of an event, and keeps its data if the turn is to be recorded.
+// The error is an *exchanger.IncompleteError.
+func (e *exchange) acceptEvent(t *turn, raw []byte, ids *sequence) error {
+	parsed, err := parseEvent(raw)
+	if err == nil && (parsed.hasData || parsed.id != "") {
+		err = ids.accept(parsed.id)
+	}
+	if err != nil {
+		return &exchanger.IncompleteError{Upstream: e.upstream.ID, Cause: err}
+	}
+	if !parsed.hasData {
+		return nil
+	}
+	e.unnumbered = parsed.id == ""
+	e.generated += e.service.TokensPerEvent
+	if t.kind.Retain {
+		t.output = append(append(t.output, parsed.data...), '\n')
+	}
 	return nil
 }
 
@@ -188,13 +205,28 @@
 // Unwrap returns io.ErrUnexpectedEOF: the upstream may have ended.
 func (*PartialEventError) Unwrap() error { return io.ErrUnexpectedEOF }
 
+// EmptyRestError reports that the rest of a stream has no event and ends with its connection:
+// nothing tells it from a response that was broken off.
+type EmptyRestError struct{}
+
+// Error implements the error interface.
+func (*EmptyRestError) Error() string {
+	return "rest of the stream ended with its connection, without an event"
+}
+
+// Unwrap returns io.ErrUnexpectedEOF: the upstream may have ended.
+func (*EmptyRestError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // endEvents ends a stream with the bytes that follow its last complete event. Line ends are
 // sent to the caller. Anything else is a part of an event: the upstream has broken the stream
 // off, even if the connection ended properly.
-func (e *exchange) endEvents(rest []byte) error {
+func (e *exchange) endEvents(rest []byte, response *exchanger.Response, ids *sequence) error {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return &exchanger.IncompleteError{Upstream: e.upstream.ID, Cause: &PartialEventError{}}
 	}
+	if ids.joining && response.Unframed {
+		return &exchanger.IncompleteError{Upstream: e.upstream.ID, Cause: &EmptyRestError{}}
+	}
 	if len(rest) == 0 {
 		return nil
 	}
