Keep unrecorded settlements out of sums of settlements

A home that stood still for longer than the store keeps records could hand out more of a program's budget, and one that wrote a sum made later homes refuse the program too soon.

Cause: a sum of settlements in the store was compared with, and written from, the figure in memory, which includes settlements that are not in the store yet. A larger sum that was read replaced them; a sum that was written counted them, and their record counted them again.

Change: the recorded part alone is compared and written, taken when the record is built.

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -143,16 +143,20 @@
 	return sum
 }
 
-// applyOtherSpending applies a sum of settlements that another home recorded. The
-// recorded sum and the sum in memory may include the same settlements, so they are not
-// added. The recorded sum may lack the newest settlements, and the sum in memory may
-// lack settlements that the store dropped before this home read the partition. So the
-// larger sum is kept. written is when the sum was written to the store.
+// recordedSpending returns the sum of the settlements that are in the store, as far as this
+// home knows.
+func (a *account) recordedSpending() int64 { return a.escrow.Settled - a.unrecordedSettlements() }
+
+// applyOtherSpending applies a sum of settlements that another home recorded. It includes all
+// settlements that were in the store before it. The sum in memory may lack some that the store
+// dropped before this home read the partition, and has those that this home has not recorded
+// yet. written is when the sum was written to the store.
 func (a *account) applyOtherSpending(settled int64, written time.Time) {
-	if settled < a.escrow.Settled {
+	recorded := a.recordedSpending()
+	if settled < recorded {
 		return
 	}
-	a.escrow.Settled = settled
+	a.escrow.Settled += settled - recorded
 	a.sumWritten = written
 }
 
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -52,10 +52,9 @@
 // rewriteTurnChange writes a turn again before the store drops its older record.
 type rewriteTurnChange struct{ turn *recorder.Turn }
 
-// rewriteSpendingChange writes the sum of tokens that a program's settled turns
-// have generated, before the store drops the individual settlements.
+// rewriteSpendingChange writes the sum of a program's settlements that are in the store, before
+// the store drops them.
 type rewriteSpendingChange struct {
-	settled int64
 	// retention is how long the program's account is kept after its last use.
 	retention time.Duration
 	// taken is when the sum was taken.
@@ -120,9 +119,11 @@
 	case rewriteTurnChange:
 		b.Turns = append(b.Turns, k.turn)
 	case rewriteSpendingChange:
-		b.Spendings = append(b.Spendings, &recorder.Spending{
-			Program: c.program, Settled: k.settled, Retention: k.retention.Milliseconds(),
-		})
+		if a, ok := s.accounts[c.program]; ok {
+			b.Spendings = append(b.Spendings, &recorder.Spending{
+				Program: c.program, Settled: a.recordedSpending(), Retention: k.retention.Milliseconds(),
+			})
+		}
 	case reservationChange:
 		b.Holds = append(b.Holds, &recorder.Hold{
 			Program: c.program, Turn: k.turn, Most: k.maxTokens, Retention: k.retention.Milliseconds(),
--- a/keeper/rewrite.go
+++ b/keeper/rewrite.go
@@ -48,7 +48,7 @@
 		if !a.sumWritten.Before(cutoff) || a.escrow.Settled == 0 {
 			continue
 		}
-		c := newChange(program, rewriteSpendingChange{settled: a.escrow.Settled, retention: a.retention, taken: now})
+		c := newChange(program, rewriteSpendingChange{retention: a.retention, taken: now})
 		if err := s.enqueueRewrite(rewriteKey{program: program}, c); err != nil {
 			return err
 		}
