Write allowances and reservations again before the store drops them

Cause: the record of a home's allowance makes the next home count what the home may have let run without a record. It was written once, and went with the store's retention, while the home went on by it. Reservations, and what dead homes had reserved, were forgotten in the same way.

Change: homes write again what they reserve, and what other homes reserve as the other home's, after half of the retention.

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -17,10 +17,12 @@
 	ended, withdrawn recentTurns
 	// otherAllowances holds the allowances of other homes, by the incarnation of the
 	// home.
-	otherAllowances map[string]int64
+	otherAllowances map[string]otherAllowance
 	// requestedAllowance is the allowance that this home has recorded or queued for
-	// recording; 0 if there is no such allowance.
+	// recording; 0 if there is no such allowance. allowanceWritten is when it was last
+	// written to the store.
 	requestedAllowance int64
+	allowanceWritten   time.Time
 	// retention determines how long the account is kept after lastUsed.
 	retention time.Duration
 	lastUsed  time.Time
@@ -30,6 +32,13 @@
 	sumWritten time.Time
 }
 
+// otherAllowance is the allowance of another home, in tokens, and when its record was last
+// written to the store.
+type otherAllowance struct {
+	amount  int64
+	written time.Time
+}
+
 // reservation is the part of a budget that is set aside for one turn. Several homes may hold
 // it: an entry host that gives up on one home asks the next one. All amounts are in tokens.
 type reservation struct {
@@ -43,17 +52,21 @@
 	// turn may run. A turn runs only under a reservation of the home that it was told by,
 	// whatever other homes hold.
 	held bool
-	// holders has the other homes whose records hold the reservation, by incarnation.
-	holders map[string]bool
-	// recorded is set once the reservation of each home that holds it is in the store.
+	// holders has the other homes whose records hold the reservation, by incarnation, and when
+	// the record was last written to the store.
+	holders map[string]time.Time
+	// recorded is set once the reservation of each home that holds it is in the store. written
+	// is when this home's record was last written there.
 	recorded bool
+	written  time.Time
 	// change is the queued record of this home's reservation, or nil.
 	change *change
 }
 
 // applyOtherReservation applies a reservation that another home recorded. One of 0 tokens
-// withdraws the home's earlier reservation for the turn.
-func (a *account) applyOtherReservation(writer, turn string, maxTokens int64) {
+// withdraws the home's earlier reservation for the turn. written is when the reservation was
+// written to the store.
+func (a *account) applyOtherReservation(writer, turn string, maxTokens int64, written time.Time) {
 	if maxTokens <= 0 {
 		a.applyOtherWithdrawal(writer, turn)
 		return
@@ -68,16 +81,16 @@
 		a.escrow.Reserved += maxTokens
 	}
 	if res.holders == nil {
-		res.holders = make(map[string]bool)
+		res.holders = make(map[string]time.Time)
 	}
-	res.holders[writer] = true
+	res.holders[writer] = written
 }
 
 // applyOtherWithdrawal applies another home's withdrawal of its reservation for a turn. The
 // turn may run under the reservation of a further home.
 func (a *account) applyOtherWithdrawal(writer, turn string) {
 	res, ok := a.reservations[turn]
-	if !ok || !res.holders[writer] {
+	if !ok {
 		return
 	}
 	delete(res.holders, writer)
@@ -161,20 +174,20 @@
 }
 
 // applyOtherAllowance applies an allowance that another home recorded. It replaces
-// that home's earlier allowance.
-func (a *account) applyOtherAllowance(writer string, amount int64) {
+// that home's earlier allowance. written is when it was written to the store.
+func (a *account) applyOtherAllowance(writer string, amount int64, written time.Time) {
 	if a.otherAllowances == nil {
-		a.otherAllowances = make(map[string]int64)
+		a.otherAllowances = make(map[string]otherAllowance)
 	}
-	a.escrow.OtherAllowances += amount - a.otherAllowances[writer]
-	a.otherAllowances[writer] = amount
+	a.escrow.OtherAllowances += amount - a.otherAllowances[writer].amount
+	a.otherAllowances[writer] = otherAllowance{amount: amount, written: written}
 }
 
-// applyRecorded applies a change of this home that is now in the store.
-func (a *account) applyRecorded(c *change) {
+// applyRecorded applies a change of this home that is in the store since now.
+func (a *account) applyRecorded(c *change, now time.Time) {
 	switch k := c.kind.(type) {
 	case reservationChange:
-		a.applyRecordedReservation(c, k.turn)
+		a.applyRecordedReservation(c, k.turn, now)
 	case turnChange:
 		a.applyRecordedSettlement(k.turn.GetId(), k.turn.GetGenerated())
 	case settlementChange:
@@ -183,16 +196,21 @@
 		a.sumWritten = k.taken
 	case allowanceChange:
 		a.escrow.Allowance = k.amount
+		a.allowanceWritten = now
+	case rewriteReservationChange:
+		a.applyRewrittenReservation(k.writer, k.turn, now)
+	case rewriteAllowanceChange:
+		a.applyRewrittenAllowance(k.writer, now)
 	}
 }
 
 // applyRecordedReservation marks this home's reservation for a turn as recorded.
-func (a *account) applyRecordedReservation(c *change, turn string) {
+func (a *account) applyRecordedReservation(c *change, turn string, now time.Time) {
 	res, ok := a.reservations[turn]
 	if !ok || res.change != c {
 		return
 	}
-	res.recorded = true
+	res.recorded, res.written = true, now
 	res.change = nil
 	amount := res.maxTokens
 	if res.settled {
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -61,6 +61,13 @@
 	taken time.Time
 }
 
+// rewriteReservationChange writes the reservation of a home for a turn again before the store
+// drops its older record. The home is named by its incarnation and may be this one.
+type rewriteReservationChange struct{ writer, turn string }
+
+// rewriteAllowanceChange does the same for the allowance of a home.
+type rewriteAllowanceChange struct{ writer string }
+
 // bindingChange records which build began the stream of an attempt.
 type bindingChange struct {
 	attempt string
@@ -69,13 +76,15 @@
 	retention int64
 }
 
-func (turnChange) kind()            {}
-func (rewriteTurnChange) kind()     {}
-func (rewriteSpendingChange) kind() {}
-func (reservationChange) kind()     {}
-func (settlementChange) kind()      {}
-func (allowanceChange) kind()       {}
-func (bindingChange) kind()         {}
+func (turnChange) kind()               {}
+func (rewriteTurnChange) kind()        {}
+func (rewriteSpendingChange) kind()    {}
+func (reservationChange) kind()        {}
+func (settlementChange) kind()         {}
+func (allowanceChange) kind()          {}
+func (rewriteReservationChange) kind() {}
+func (rewriteAllowanceChange) kind()   {}
+func (bindingChange) kind()            {}
 
 // newChange returns a change that is not queued yet.
 func newChange(program string, k kind) *change {
@@ -112,10 +121,15 @@
 }
 
 // addTo adds the change's record to a batch. The caller holds the shard's mu.
-func (c *change) addTo(b *recorder.ShardBatch, s *shard) {
+func (c *change) addTo(to *batch, s *shard) {
+	b := to.message
 	switch k := c.kind.(type) {
 	case turnChange:
 		s.addTurnRecords(b, k)
+	case rewriteReservationChange:
+		s.addReservationCopy(to, c.program, k)
+	case rewriteAllowanceChange:
+		s.addAllowanceCopy(to, c.program, k)
 	case rewriteTurnChange:
 		b.Turns = append(b.Turns, k.turn)
 	case rewriteSpendingChange:
--- a/keeper/reserve.go
+++ b/keeper/reserve.go
@@ -173,8 +173,7 @@
 	s.deferred = append(s.deferred, newChange(r.GetProgram(), settlementChange{turn: r.GetTurn(), generated: r.GetGenerated()}))
 }
 
-// releaseAllowances gives back the allowances of this home. Open reservations that
-// an allowance covered until now are recorded first.
+// releaseAllowances gives back the allowances of this home.
 func (s *shard) releaseAllowances() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,20 +181,24 @@
 		if a.requestedAllowance == 0 {
 			continue
 		}
-		a.requestedAllowance = 0
-		// From now on the allowance covers no further turn, although the record
-		// that gives the allowance back is not in the store yet.
-		a.escrow.Allowance = 0
-		_, err := s.enqueueReservations(program, a)
-		if err == nil {
-			err = s.enqueue(newChange(program, allowanceChange{}))
-		}
-		if err != nil {
+		if err := s.releaseAllowance(program, a); err != nil {
 			s.logger.Warn().Err(err).Str("program", program).Msg("allowance not released")
 		}
 	}
 }
 
+// releaseAllowance gives back this home's allowance for a program. Open reservations that it
+// covered until now are recorded first. From now on the allowance covers no further turn,
+// although the record that gives it back is not in the store yet. The caller holds mu.
+func (s *shard) releaseAllowance(program string, a *account) error {
+	a.requestedAllowance = 0
+	a.escrow.Allowance = 0
+	if _, err := s.enqueueReservations(program, a); err != nil {
+		return err
+	}
+	return s.enqueue(newChange(program, allowanceChange{}))
+}
+
 // turnRecord returns the store's record of a completely answered turn.
 func turnRecord(r *messenger.EndRequest) *recorder.Turn {
 	return &recorder.Turn{
--- a/keeper/rewrite.go
+++ b/keeper/rewrite.go
@@ -17,19 +17,23 @@
 	maxQueuedRewrites = maxQueuedChanges / 4
 )
 
-// rewriteKey names the record that a rewrite copies: that of a turn, or the sum of
-// settlements of a program. The other field is empty.
-type rewriteKey struct{ turn, program string }
+// rewriteKey names the record that a rewrite copies: a turn, the sum of settlements of a
+// program, or what a home with the incarnation writer reserves of a program's budget, for a
+// turn or as its allowance. The other fields are empty.
+type rewriteKey struct{ turn, program, writer string }
 
 // rewriteExpiring queues new copies of the records that are still needed and that
-// the store will drop soon: the sum of settlements of each program, and turns. A record
-// whose copy could not be queued or appended remains due, and the next call tries again.
+// the store will drop soon: the sum of settlements of each program, what homes reserve of
+// budgets, and turns. A record whose copy could not be queued or appended remains due, and the next call tries again.
 func (s *shard) rewriteExpiring(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.rewrites, func(_ rewriteKey, c *change) bool { return c.isComplete() })
 	cutoff := now.Add(-s.keeper.config.Retention / rewriteDivisor)
 	err := s.rewriteSums(cutoff, now)
+	if err == nil {
+		err = s.rewriteReserved(cutoff)
+	}
 	if err == nil {
 		err = s.rewriteTurns(s.tree.Due(cutoff))
 	}
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -226,12 +226,16 @@
 // incarnation of this host.
 func (s *shard) applyForeign(b *recorder.ShardBatch, now time.Time) {
 	s.hadOtherWriter = true
-	for _, h := range b.GetHolds() {
-		s.account(h.GetProgram(), time.Duration(h.GetRetention())*time.Millisecond, now).
-			applyOtherReservation(b.GetWriter(), h.GetTurn(), h.GetMost())
+	if b.GetWriter() == s.keeper.config.Incarnation {
+		// Another home has written again what this one reserves.
+		return
 	}
 	age := max(0, now.Sub(time.UnixMilli(b.GetWritten())))
 	written := now.Add(-age)
+	for _, h := range b.GetHolds() {
+		s.account(h.GetProgram(), time.Duration(h.GetRetention())*time.Millisecond, now).
+			applyOtherReservation(b.GetWriter(), h.GetTurn(), h.GetMost(), written)
+	}
 	for _, e := range b.GetSpendings() {
 		s.account(e.GetProgram(), time.Duration(e.GetRetention())*time.Millisecond, now).
 			applyOtherSpending(e.GetSettled(), written)
@@ -252,7 +256,7 @@
 		}
 	}
 	for _, a := range b.GetAllowances() {
-		s.account(a.GetProgram(), 0, now).applyOtherAllowance(b.GetWriter(), a.GetAmount())
+		s.account(a.GetProgram(), 0, now).applyOtherAllowance(b.GetWriter(), a.GetAmount(), written)
 	}
 }
 
@@ -263,7 +267,7 @@
 	}
 	for _, c := range b.changes {
 		if a, ok := s.accounts[c.program]; ok {
-			a.applyRecorded(c)
+			a.applyRecorded(c, now)
 		}
 	}
 }
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -35,7 +35,9 @@
 	sequence uint64
 	changes  []*change
 	message  *recorder.ShardBatch
-	// records holds the encoded message.
+	// copies holds what is written again for other homes, by the incarnation of the home.
+	copies map[string]*recorder.ShardBatch
+	// records holds the encoded message and the copies.
 	records [][]byte
 	// readBack is set once the batch has been read from the partition. The append
 	// then took effect although its answer was lost.
@@ -185,12 +187,43 @@
 		Writer: s.keeper.config.Incarnation, Sequence: b.sequence, Written: time.Now().UnixMilli(),
 	}
 	for _, c := range changes {
-		c.addTo(b.message, s)
+		c.addTo(b, s)
 	}
-	b.records, err = encode(b.message, s.keeper.config.RecordBytes)
+	err = b.encode(s.keeper.config.RecordBytes)
 	return b, s.end, err
 }
 
+// messageOf returns the message for records of the home with the given incarnation: this home
+// or another one, for which records are written again.
+func (b *batch) messageOf(writer string) *recorder.ShardBatch {
+	if writer == b.message.GetWriter() {
+		return b.message
+	}
+	if b.copies == nil {
+		b.copies = make(map[string]*recorder.ShardBatch)
+	}
+	if b.copies[writer] == nil {
+		b.copies[writer] = &recorder.ShardBatch{Writer: writer, Written: b.message.GetWritten()}
+	}
+	return b.copies[writer]
+}
+
+// encode encodes the message and the copies. The error is an *EncodingError.
+func (b *batch) encode(limit int) error {
+	var err error
+	if b.records, err = encode(b.message, limit); err != nil {
+		return err
+	}
+	for _, c := range b.copies {
+		records, err := encode(c, limit)
+		if err != nil {
+			return err
+		}
+		b.records = append(b.records, records...)
+	}
+	return nil
+}
+
 // addTurnRecords adds a turn to a batch, unless the shard has the turn already. If
 // the change contains the chain of the previous turn (the text of that turn and of all
 // turns before it) and the shard lacks any of these turns, the chain is added as a
