--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -11,7 +11,6 @@
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/isolator"
-	"github.com/citronpier/citronpier/refuser"
 )
 
 // probeTimeout limits the time for opening a connection to an upstream that may have ended.
@@ -84,18 +83,3 @@
 		f.config.ReportCrash(report)
 	}
 }
-
-// quarantined returns the outcome of a request that must not be sent to an upstream because
-// upstreams ended while they ran it, and nil otherwise.
-func (e *exchange) quarantined(now time.Time) Outcome {
-	verdict, ok := e.config.Isolator.Verdict(e.fingerprint, now).(isolator.Refused)
-	if !ok {
-		return nil
-	}
-	if e.mayHaveRun {
-		return refused(refuser.New(refuser.Lost, "the answer was lost, and the request has crashed %d upstreams", verdict.Crashes).
-			WithRun(descriptor.RunUnknown))
-	}
-	return refused(refuser.New(refuser.Quarantine, "the request has crashed %d upstreams", verdict.Crashes).
-		WithRetry(verdict.Until.Sub(now)))
-}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -151,36 +151,6 @@
 	}
 }
 
-// unsendable returns the outcome of a request that must not be sent to an upstream any more,
-// and nil if it may be sent. It is asked after each wait: the caller may have left, the deadline
-// may have passed, the host may be stopping, or the request may have crashed upstreams. ctx is
-// the context of the send, which outlives the caller of a request that may run once.
-func (e *exchange) unsendable(ctx context.Context, now time.Time) Outcome {
-	if o := e.contextOutcome(ctx); o != nil {
-		return o
-	}
-	if o := e.contextOutcome(e.caller); o != nil {
-		return o
-	}
-	if o := e.quarantined(now); o != nil {
-		return o
-	}
-	return e.outlastsStop()
-}
-
-// outlastsStop returns the outcome of a request that no upstream may have run yet and that
-// this host would abort in its planned stop, and nil for other requests.
-func (e *exchange) outlastsStop() Outcome {
-	if e.config.LastDeadline == nil || e.mayHaveRun {
-		return nil
-	}
-	latest, stopping := e.config.LastDeadline()
-	if !stopping || !e.deadline.After(latest) {
-		return nil
-	}
-	return refused(refuser.New(refuser.Leaving, "the host is stopping and would abort the request").WithRetry(retryAfterStopping))
-}
-
 // sendTo sends the request to one upstream and waits for the header of the response.
 func (e *exchange) sendTo(ctx context.Context, chosen choice, after string, now time.Time) (*exchanger.Response, error) {
 	u := chosen.Upstream
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -311,11 +311,17 @@
 		}},
 		Services: map[string]descriptor.Service{"s": {Name: "s", TokensPerEvent: 18}},
 	}
+	f.startWith(t, func() descriptor.Configuration { return configuration })
+}
+
+// startWith creates the Forwarder with a configuration that may change.
+func (f *fixture) startWith(t testing.TB, configuration func() descriptor.Configuration) {
+	t.Helper()
 	f.forwarder = forwarder.New(forwarder.Config{
 		Isolator: f.isolator, ReportCrash: func(isolator.Report) {},
 		RemoteDemand:  func(string, time.Time) forwarder.RemoteDemand { return forwarder.RemoteDemand{Telling: 1, Hosts: 1} },
 		Shards:        4,
-		Configuration: func() descriptor.Configuration { return configuration },
+		Configuration: configuration,
 		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
 		Drain:         drain,
 		LastDeadline:  func() (time.Time, bool) { return time.Now(), f.stopping.Load() },
--- a/forwarder/resume_test.go
+++ b/forwarder/resume_test.go
@@ -8,14 +8,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 
-	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/exchanger"
-	"github.com/citronpier/citronpier/forwarder"
-	"github.com/citronpier/citronpier/isolator"
-	"github.com/citronpier/citronpier/watcher"
 )
 
 // upstreamOf starts an upstream of a service and a version.
@@ -106,28 +100,15 @@
 			f.list = f.list.WithUpstream(f.upstreamOf(t, "s0", "s", "v1", streamEvents(0)), 0, time.Now()).
 				WithUpstream(f.upstreamOf(t, "x0", "x", "v1", streamEvents(0)), 1, time.Now())
 			split := c.split
-			f.forwarder = forwarder.New(forwarder.Config{
-				Isolator: isolator.New(isolator.Policy{Crashes: 3, Overlapping: 2, Quarantine: time.Minute}), ReportCrash: func(isolator.Report) {},
-				RemoteDemand: func(string, time.Time) forwarder.RemoteDemand { return forwarder.RemoteDemand{Telling: 1, Hosts: 1} },
-				Shards:       4,
-				Configuration: func() descriptor.Configuration {
-					return descriptor.Configuration{
-						Version: 1,
-						Routes: []descriptor.Route{{
-							Name: "r", Host: "h", Prefix: "/a/", Kind: descriptor.Stream{Resumable: true},
-							Timeout: 5 * time.Second, Attempts: 1, Split: split,
-						}},
-						Services: map[string]descriptor.Service{"s": {Name: "s"}, "x": {Name: "x"}},
-					}
-				},
-				Upstreams:   func() (watcher.List, bool) { return f.listed(), true },
-				RemoteLoads: func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
-				Homes:       f.home,
-				Exchanger:   exchanger.New(codec{}, exchanger.NewDial(exchanger.UnackedUpstream)),
-				Tracker:     &forwarder.UpstreamTracker{},
-				Counters:    &counter.Set{},
-				Logger:      zerolog.Nop(),
-				Background:  t.Context(),
+			f.startWith(t, func() descriptor.Configuration {
+				return descriptor.Configuration{
+					Version: 1,
+					Routes: []descriptor.Route{{
+						Name: "r", Host: "h", Prefix: "/a/", Kind: descriptor.Stream{Resumable: true},
+						Timeout: 5 * time.Second, Attempts: 1, Split: split,
+					}},
+					Services: map[string]descriptor.Service{"s": {Name: "s"}, "x": {Name: "x"}},
+				}
 			})
 			got := make(map[string]int)
 			for i := range tries {
