Count the calls of Begin that hold a reservation

A repeated Begin for a turn that had no room for its record before let the turn run without one: the reservation was there, with no record to wait for. And a Begin that was given up withdrew the reservation under which an earlier call at the same home had let the turn run.

Change: a reservation counts the calls that hold it; a call that fails or is given up takes back its own. A repeated call queues the record again if it is missing.

Evidence: TestTurnRunsWithoutReservationAfterFullQueue failed before (RESERVED) and passes.

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -48,10 +48,10 @@
 	generated int64
 	// settled is set once the turn has ended at this home.
 	settled bool
-	// held is set while this home holds the reservation: it has told an entry host that the
-	// turn may run. A turn runs only under a reservation of the home that it was told by,
-	// whatever other homes hold.
-	held bool
+	// claims is the number of calls of Begin at this home under which the turn may run: the
+	// reservation is held by this home while there is one. A turn runs only under a
+	// reservation of the home that let it run, whatever other homes hold.
+	claims int
 	// holders has the other homes whose records hold the reservation, by incarnation, and when
 	// the record was last written to the store.
 	holders map[string]time.Time
@@ -100,7 +100,7 @@
 // dropUnheld drops a reservation that no home holds any more. It is not settled: a turn
 // that ended was held.
 func (a *account) dropUnheld(turn string, res *reservation) {
-	if res.held || res.settled || len(res.holders) > 0 {
+	if res.held() || res.settled || len(res.holders) > 0 {
 		return
 	}
 	delete(a.reservations, turn)
@@ -136,6 +136,9 @@
 	}
 }
 
+// held reports whether this home holds the reservation.
+func (r *reservation) held() bool { return r.claims > 0 }
+
 // settle marks the turn of a reservation as ended. It returns what the turn generated, which
 // is at most what was reserved.
 func (r *reservation) settle(generated int64) int64 {
--- a/keeper/budget_test.go
+++ b/keeper/budget_test.go
@@ -57,3 +57,19 @@
 		}
 	})
 }
+
+// The home's queue has no room for the reservation, and the entry host repeats Begin.
+func TestTurnRunsWithoutReservationAfterFullQueue(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		home, other := f.startHome(ctx, "home"), f.startHome(ctx, "other")
+		knowEachOther(ctx, home, other)
+		f.tickWithFullQueue(ctx, home)
+		f.store.SetFault(refuseAppends)
+		r := beginRequest("1", "")
+		r.Retain = false
+		got := []string{home.Begin(ctx, r, time.Now()).GetVerdict().String(), home.Begin(ctx, r, time.Now()).GetVerdict().String()}
+		if diff := cmp.Diff([]string{"UNCERTAIN", "UNCERTAIN"}, got); diff != "" {
+			t.Errorf("verdicts (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/keeper/reservation.go
+++ b/keeper/reservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/citronpier/citronpier/budgeter"
@@ -69,6 +70,10 @@
 	defer cancel()
 	for {
 		verdict, pending, err := s.reserve(r, now)
+		var full *QueueFullError
+		if errors.As(err, &full) {
+			s.withdraw(r)
+		}
 		if err != nil {
 			return uncertainReply(err)
 		}
--- a/keeper/reserve.go
+++ b/keeper/reserve.go
@@ -25,6 +25,9 @@
 		return nil, nil, &EndedError{Turn: r.GetTurn()}
 	}
 	if res, ok := a.reservations[r.GetTurn()]; ok {
+		if res.settled {
+			return nil, nil, &EndedError{Turn: r.GetTurn()}
+		}
 		err := s.hold(r.GetProgram(), a, res)
 		return budgeter.EscrowReserved{}, s.changeBeforeRun(res), err
 	}
@@ -35,7 +38,7 @@
 		return v, pending, err
 	case budgeter.EscrowReserved:
 		a.escrow = escrow
-		res := &reservation{maxTokens: r.GetMost(), held: true}
+		res := &reservation{maxTokens: r.GetMost(), claims: 1}
 		a.reservations[r.GetTurn()] = res
 		if v.RecordNow {
 			_, err := s.recordReservations(r.GetProgram(), a)
@@ -45,21 +48,25 @@
 	return verdict, nil, nil
 }
 
-// hold makes this home hold a reservation that is known from another home's record. Its own
-// record is needed before the turn runs: the other home may withdraw. The caller holds mu.
+// hold makes this home hold a reservation that is known, from its own earlier Begin or from
+// another home's record. Its own record is needed before the turn runs: the other home may
+// withdraw. The caller holds mu.
 func (s *shard) hold(program string, a *account, res *reservation) error {
-	if res.held {
+	if !res.held() {
+		res.recorded = false
+		a.escrow.Unrecorded += res.maxTokens
+	}
+	res.claims++
+	if res.recorded || !s.hadOtherWriter {
 		return nil
 	}
-	res.held, res.recorded = true, false
-	a.escrow.Unrecorded += res.maxTokens
 	_, err := s.enqueueReservations(program, a)
 	return err
 }
 
-// withdraw gives up this home's reservation for a turn that it has not let run. The turn may
-// run under the reservation of another home. A later Begin of the turn at this home is
-// refused.
+// withdraw gives up what one call of Begin has reserved at this home, and that no turn runs
+// under. The turn may run under an earlier call, or under the reservation of another home.
+// Without an earlier call, a later Begin of the turn at this home is refused.
 func (s *shard) withdraw(r *messenger.BeginRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,10 +75,13 @@
 		return
 	}
 	res, ok := a.reservations[r.GetTurn()]
-	if !ok || !res.held || res.settled {
+	if !ok || !res.held() || res.settled {
+		return
+	}
+	if res.claims--; res.held() {
 		return
 	}
-	res.held, res.change = false, nil
+	res.change = nil
 	if !res.recorded && len(res.holders) > 0 {
 		res.recorded = true
 		a.escrow = a.escrow.WithRecorded(res.maxTokens)
@@ -127,7 +137,7 @@
 func (s *shard) enqueueReservations(program string, a *account) (*change, error) {
 	var pending *change
 	for turn, res := range a.reservations {
-		if !res.held || res.recorded || res.settled {
+		if !res.held() || res.recorded || res.settled {
 			continue
 		}
 		if res.change == nil {
--- a/keeper/rewrite_reserved.go
+++ b/keeper/rewrite_reserved.go
@@ -55,7 +55,7 @@
 // isIdle reports whether no turn of the program runs at this home and none has since a time.
 func (a *account) isIdle(since time.Time) bool {
 	for _, res := range a.reservations {
-		if res.held {
+		if res.held() {
 			return false
 		}
 	}
@@ -86,7 +86,7 @@
 // cutoff. self is the incarnation of this home.
 func (r *reservation) expiring(self string, cutoff time.Time) []string {
 	var writers []string
-	if r.held && r.recorded && !r.settled && r.written.Before(cutoff) {
+	if r.held() && r.recorded && !r.settled && r.written.Before(cutoff) {
 		writers = append(writers, self)
 	}
 	for writer, written := range r.holders {
@@ -110,7 +110,7 @@
 	}
 	_, held := res.holders[k.writer]
 	if k.writer == s.keeper.config.Incarnation {
-		held = res.held && !res.settled
+		held = res.held() && !res.settled
 	}
 	if !held {
 		return
