--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -7,8 +7,8 @@
 	"math"
 	"net"
 	"net/http"
-	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,12 +25,13 @@
 	// endlessResponses is the number of endless responses that a host gets at once.
 	endlessResponses = 400
 	// endlessMemory is the memory for responses, and endlessHeap what may be in use with it:
-	// buffers are copied when they grow, connections have buffers of their own, and garbage
-	// is collected later.
+	// buffers are copied when they grow, and connections have buffers of their own.
 	endlessMemory = 8 << 20
 	endlessHeap   = 64 << 20
 	// endlessTime is how long callers send.
 	endlessTime = 600 * time.Millisecond
+	// endlessPause is the time after which a caller comes again.
+	endlessPause = 50 * time.Millisecond
 )
 
 // piecesPerWrite is the number of pieces of an endless response that are written at once.
@@ -49,13 +50,14 @@
 	}
 }
 
-// watchHeap returns the most memory in use on the heap, in bytes, until the context ends.
+// watchHeap returns the most memory that objects in use take on the heap, in bytes, as the
+// garbage collector finds until the context ends.
 func watchHeap(ctx context.Context) uint64 {
 	var largest uint64
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
 	for ctx.Err() == nil {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		largest = max(largest, m.HeapAlloc)
+		metrics.Read(live)
+		largest = max(largest, live[0].Value.Uint64())
 		time.Sleep(20 * time.Millisecond)
 	}
 	return largest
@@ -122,6 +124,7 @@
 				r.ID = fmt.Sprintf("endless%d.%d", n, i)
 				r.Deadline = time.Now().Add(endlessTime)
 				f.forwarder.Serve(ctx, r, discardSink{}, time.Now())
+				time.Sleep(endlessPause)
 			}
 		})
 	}
