--- a/entry.go
+++ b/entry.go
@@ -173,7 +173,14 @@
 	})
 	e.exchanger = exchanger.New(c.Codec, dialOr(c.Dial, exchanger.UnackedUpstream)).WithMemory(c.Memory)
 	e.peers.dial, e.peers.memory = dialOr(c.Dial, exchanger.UnackedPeer), c.Memory
-	e.forwarder = forwarder.New(forwarder.Config{
+	e.forwarder = e.newForwarder()
+	return e
+}
+
+// newForwarder returns the Forwarder of the host. All other parts of the host are there already.
+func (e *Entry) newForwarder() *forwarder.Forwarder {
+	c := e.config
+	return forwarder.New(forwarder.Config{
 		DataCentre:    c.Host.DataCentre,
 		Shards:        len(c.Shards),
 		Configuration: e.watcher.Configuration,
@@ -192,7 +199,6 @@
 		Logger:        e.config.Logger,
 		Background:    e.background,
 	})
-	return e
 }
 
 // dialOr returns dial if it is not nil. Otherwise it returns a Dial whose
