Apply another home's settlement in one of two ways

The tokens of a turn that a reservation covers were noted twice, and the second note added nothing only because of the first. Either the reservation is exchanged, or what exceeds an earlier settlement is added.

--- a/keeper/account.go
+++ b/keeper/account.go
@@ -118,11 +118,11 @@
 	}
 	res, ok := a.reservations[turn]
 	if ok && !res.settled {
-		generated = res.settle(generated)
-		a.escrow = a.escrow.WithSettled(res.maxTokens, generated, res.recorded)
-		a.ended.add(turn, generated)
+		a.escrow = a.escrow.WithSettled(res.maxTokens, res.settle(generated), res.recorded)
+		a.ended.add(turn, res.generated)
+	} else {
+		a.escrow.Settled += a.ended.add(turn, generated)
 	}
-	a.escrow.Settled += a.ended.add(turn, generated)
 	if ok {
 		a.dropSettled(turn, res)
 	}
