Authenticate callers by organisation keys and bound the age of revocations

Cause: the platform path had no notion of an organisation.

Change: package authenticator decides from the key's digest, the configuration and its age, which counts suspension. Requests are checked on arrival, after each wait and before the first byte. Keys are replaced by the organisation's name. Ids of programs and turns are kept apart by organisation. A read of the configuration that takes too long is given up and repeated through another host.

--- a/descriptor/configuration.go
+++ b/descriptor/configuration.go
@@ -15,6 +15,8 @@
 	// Services is indexed by the service's name.
 	Services map[string]Service
 	Limits   Limits
+	// Organisations are empty if requests need no key.
+	Organisations Organisations
 }
 
 // Route configures how requests for one host name and path prefix are handled.
@@ -31,6 +33,8 @@
 	Urgency int
 	// Split divides the route's requests among services.
 	Split []Share
+	// Open is true if requests need no key.
+	Open bool
 	// Attempts is the maximum number of upstreams that may run one request.
 	// Attempts >= 1.
 	Attempts int
--- a/descriptor/request.go
+++ b/descriptor/request.go
@@ -17,6 +17,8 @@
 	Path string
 	// Target is the path and query exactly as the caller sent them.
 	Target string
+	// Key is the digest of the caller's key. It is the zero value if the request has none.
+	Key KeyDigest
 	// Header holds the header fields that are sent to the upstream unchanged.
 	Header http.Header
 	Body   []byte
--- a/entry.go
+++ b/entry.go
@@ -85,8 +85,11 @@
 	Grace time.Duration
 	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
 	// known.
-	Drain  time.Duration
-	Logger zerolog.Logger
+	Drain time.Duration
+	// Revocation is the time after which a revoked key must not work any more, also on hosts
+	// that don't reach the store; 0 if there is no such bound.
+	Revocation time.Duration
+	Logger     zerolog.Logger
 }
 
 // An Entry is an entry host that keeps the history and the budgets of programs
@@ -147,6 +150,7 @@
 		Configurations: c.Configurations,
 		Upstreams:      c.Upstreams,
 		Changed:        e.announceChange,
+		MaxAge:         c.Revocation,
 		Counters:       &e.counters,
 		Logger:         e.config.Logger,
 	})
@@ -181,23 +185,25 @@
 func (e *Entry) newForwarder() *forwarder.Forwarder {
 	c := e.config
 	return forwarder.New(forwarder.Config{
-		DataCentre:    c.Host.DataCentre,
-		Shards:        len(c.Shards),
-		Configuration: e.watcher.Configuration,
-		Upstreams:     e.watcher.List,
-		RemoteLoads:   e.remoteLoads,
-		RemoteDemand:  e.remoteDemand,
-		Drain:         c.Drain,
-		LastDeadline:  e.latestDeadline,
-		Isolator:      e.isolator,
-		ReportCrash:   e.reportCrash,
-		Memory:        c.Memory,
-		Homes:         e.navigator,
-		Exchanger:     e.exchanger,
-		Tracker:       &e.tracker,
-		Counters:      &e.counters,
-		Logger:        e.config.Logger,
-		Background:    e.background,
+		DataCentre:       c.Host.DataCentre,
+		ConfigurationAge: e.watcher.ConfigurationAge,
+		Authentication:   authenticationPolicy(c.Revocation),
+		Shards:           len(c.Shards),
+		Configuration:    e.watcher.Configuration,
+		Upstreams:        e.watcher.List,
+		RemoteLoads:      e.remoteLoads,
+		RemoteDemand:     e.remoteDemand,
+		Drain:            c.Drain,
+		LastDeadline:     e.latestDeadline,
+		Isolator:         e.isolator,
+		ReportCrash:      e.reportCrash,
+		Memory:           c.Memory,
+		Homes:            e.navigator,
+		Exchanger:        e.exchanger,
+		Tracker:          &e.tracker,
+		Counters:         &e.counters,
+		Logger:           e.config.Logger,
+		Background:       e.background,
 	})
 }
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -22,6 +22,11 @@
 	// Urgency is the priority that is sent with the request if the upstream is an
 	// inference engine, that is, serves a model; 0 is the highest priority.
 	Urgency int
+	// Authenticated is true if the configuration has organisations: the caller's key is not
+	// sent to the upstream. Organisation is the name of the one that sends the request, and
+	// empty if there is none.
+	Authenticated bool
+	Organisation  string
 	// LastEventID is the id of the last event that the caller has received, if this
 	// request resumes an interrupted stream; empty otherwise.
 	LastEventID string
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -37,6 +37,10 @@
 	sink        Sink
 	route       descriptor.Route
 	service     descriptor.Service
+	// authenticated is true if requests need a key, and organisation is the one that holds the
+	// key of this request.
+	authenticated bool
+	organisation  descriptor.Organisation
 	// version is the version of the configuration that was in force when the request
 	// arrived.
 	version int64
@@ -94,6 +98,9 @@
 func (e *exchange) withFields(event *zerolog.Event, now time.Time) *zerolog.Event {
 	event = event.Str("id", e.request.ID).Str("fingerprint", string(e.fingerprint)).Str("route", e.route.Name).Int64("config", e.version).
 		Dur("took_ms", now.Sub(e.began)).Int("sends", e.sends)
+	if e.authenticated {
+		event = event.Str("organisation", e.organisation.Name).Str("key", e.request.Key.Short())
+	}
 	if e.request.Program != "" {
 		event = event.Str("program", e.request.Program).Str("session", e.request.Session)
 	}
@@ -161,7 +168,9 @@
 	response, err := e.config.Exchanger.Send(ctx, u, exchanger.Attempt{
 		Request:       e.request,
 		Timeout:       e.remaining(now),
-		Urgency:       e.route.Urgency,
+		Urgency:       e.urgency(),
+		Authenticated: e.authenticated,
+		Organisation:  e.organisation.Name,
 		LastEventID:   after,
 		HeaderTimeout: e.headerTimeout(now),
 		Withdrawn:     func(now time.Time) bool { return e.unsendable(ctx, now) != nil },
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/citronpier/citronpier/allocator"
+	"github.com/citronpier/citronpier/authenticator"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
@@ -52,6 +53,10 @@
 	// Configuration returns the newest configuration that the operator has published.
 	// Its version is 0 until a configuration has been read.
 	Configuration func() descriptor.Configuration
+	// ConfigurationAge returns how long ago the configuration was known to be the newest; nil
+	// means that it always is. Authentication bounds this age for requests with keys.
+	ConfigurationAge func() time.Duration
+	Authentication   authenticator.Policy
 	// Upstreams returns the service-discovery list of upstreams, and false until the
 	// list has been read for the first time.
 	Upstreams func() (watcher.List, bool)
@@ -154,6 +159,9 @@
 		return refused(refuser.New(refuser.Route, "no route for host %q and this path", e.request.Host))
 	}
 	e.route = route
+	if o := e.authenticate(c); o != nil {
+		return o
+	}
 	if o := e.quarantined(now); o != nil {
 		return o
 	}
--- a/forwarder/interruption.go
+++ b/forwarder/interruption.go
@@ -39,7 +39,7 @@
 		if e.resumeRetries > 0 {
 			waiter.Sleep(ctx, resumePause)
 		}
-		if ctx.Err() != nil || e.quarantined(time.Now()) != nil {
+		if ctx.Err() != nil || e.quarantined(time.Now()) != nil || e.revoked() != nil {
 			return nil
 		}
 		response, err := e.sendForRest(ctx, last)
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -41,7 +41,7 @@
 func (e *exchange) recordTurn(ctx context.Context, t *turn) error {
 	r := e.endRequest(t)
 	r.Retain = true
-	r.Previous = e.request.Previous
+	r.Previous = e.scoped(e.request.Previous)
 	r.Input = t.input
 	r.Output = t.output
 	r.Retention = t.kind.Retention.Milliseconds()
@@ -55,7 +55,7 @@
 	}
 	body := e.request.Body
 	chain := make([]byte, 0, len(body)+len(t.output))
-	e.cacheChain(e.request.ID, append(append(chain, body...), t.output...))
+	e.cacheChain(e.scoped(e.request.ID), append(append(chain, body...), t.output...))
 	return nil
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -62,7 +62,7 @@
 	}
 	r := &messenger.BindRequest{
 		Shard:     int32(keeper.Shard(e.programID(), e.config.Shards)),
-		Attempt:   e.request.ID,
+		Attempt:   e.scoped(e.request.ID),
 		Build:     &messenger.Build{Service: e.build.Service, Version: e.build.Version},
 		Retention: (bindingRetentionFactor * e.route.Timeout).Milliseconds(),
 	}
--- a/forwarder/sendable.go
+++ b/forwarder/sendable.go
@@ -11,7 +11,8 @@
 
 // unsendable returns the outcome of a request that must not be sent to an upstream any more,
 // and nil if it may be sent. It is asked after each wait: the caller may have left, the deadline
-// may have passed, the host may be stopping, or the request may have crashed upstreams. ctx is
+// may have passed, the host may be stopping, the request may have crashed upstreams, or its key may have
+// been revoked. ctx is
 // the context of the send, which outlives the caller of a request that may run once.
 func (e *exchange) unsendable(ctx context.Context, now time.Time) Outcome {
 	if o := e.contextOutcome(ctx); o != nil {
@@ -23,6 +24,9 @@
 	if o := e.quarantined(now); o != nil {
 		return o
 	}
+	if o := e.revoked(); o != nil {
+		return o
+	}
 	return e.outlastsStop()
 }
 
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -61,7 +61,7 @@
 	if e.request.Program == "" && !t.kind.Retain && !resumes {
 		return nil
 	}
-	chain, cached := e.chains.Get(e.request.Previous)
+	chain, cached := e.chains.Get(e.scoped(e.request.Previous))
 	reply, o := e.reserveTurn(ctx, e.beginRequest(t, cached))
 	if o != nil {
 		return o
@@ -80,7 +80,7 @@
 	}
 	if !cached {
 		chain = reply.GetChain()
-		e.cacheChain(e.request.Previous, chain)
+		e.cacheChain(e.scoped(e.request.Previous), chain)
 	}
 	e.prependChain(t, chain)
 	return nil
@@ -97,7 +97,7 @@
 		Shard:     int32(keeper.Shard(e.programID(), e.config.Shards)),
 		Program:   e.programID(),
 		Session:   e.request.Session,
-		Turn:      e.request.ID,
+		Turn:      e.scoped(e.request.ID),
 		Budget:    e.request.Budget,
 		Most:      e.request.MaxTokens,
 		Cached:    cached,
@@ -106,10 +106,10 @@
 		Retention: t.kind.Retention.Milliseconds(),
 	}
 	if e.continuesTurn(t) {
-		r.Previous = e.request.Previous
+		r.Previous = e.scoped(e.request.Previous)
 	}
 	if e.resumesStream() {
-		r.Resumes = e.request.Resumes
+		r.Resumes = e.scoped(e.request.Resumes)
 	}
 	return r
 }
@@ -143,11 +143,11 @@
 func (e *exchange) programID() string {
 	switch {
 	case e.request.Program != "":
-		return e.request.Program
+		return e.scoped(e.request.Program)
 	case e.request.LastEvent != "" && e.request.Resumes != "":
-		return e.request.Resumes
+		return e.scoped(e.request.Resumes)
 	default:
-		return e.request.ID
+		return e.scoped(e.request.ID)
 	}
 }
 
@@ -175,7 +175,7 @@
 		Shard:     int32(keeper.Shard(e.programID(), e.config.Shards)),
 		Program:   e.programID(),
 		Session:   e.request.Session,
-		Turn:      e.request.ID,
+		Turn:      e.scoped(e.request.ID),
 		Generated: e.generated,
 		Upstream:  e.upstream.ID,
 	}
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -46,6 +46,7 @@
 	Capacity   Reason = "capacity"    // no upstream can take the request now
 	Resume     Reason = "resume"      // the stream to resume was begun by an unknown version, or by one that no upstream runs
 	Quarantine Reason = "quarantine"  // upstreams ended while they ran earlier attempts of the request; not run for a time
+	Stale      Reason = "stale"       // the host can't show that its configuration is recent enough to accept a key
 	Limited    Reason = "limited"     // the upstreams take no more requests now than the limits that they name
 	Late       Reason = "late"        // the deadline passed before any upstream could have run the request
 	Timeout    Reason = "timeout"     // the deadline passed after an upstream may have begun to run the request
@@ -99,6 +100,7 @@
 	Resume:     http.StatusServiceUnavailable,
 	Quarantine: http.StatusServiceUnavailable,
 	Limited:    http.StatusServiceUnavailable,
+	Stale:      http.StatusServiceUnavailable,
 	Late:       http.StatusServiceUnavailable,
 	Timeout:    http.StatusGatewayTimeout,
 }
--- a/relayer/newest_test.go
+++ b/relayer/newest_test.go
@@ -82,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newSlowStore(3 * time.Second)
 		followed := connector.Newest{End: 9, Items: []connector.Item{{Key: "k", Value: []byte("v"), Offset: 8}}}
-		server := relayer.Server{Direct: store, Followed: func(connector.Partition, time.Time) (connector.Newest, bool) {
+		server := relayer.Server{Direct: store, Followed: func(connector.Partition) (connector.Newest, bool) {
 			return followed, true
 		}}
 		r := relayer.New(relayer.Config{
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/messenger"
@@ -16,7 +15,7 @@
 	Direct connector.Store
 	// Followed returns the newest records of a keyed partition that this host follows,
 	// and true, if it has read them recently. Followed may be nil.
-	Followed func(p connector.Partition, now time.Time) (connector.Newest, bool)
+	Followed func(p connector.Partition) (connector.Newest, bool)
 }
 
 // Append appends records to the store for another host. An error of the store is
@@ -42,7 +41,7 @@
 // earlier records with the same key.
 func (s Server) Newest(ctx context.Context, r *messenger.NewestRequest) (*messenger.NewestReply, error) {
 	p := connector.Partition{Topic: r.GetTopic(), Part: int(r.GetPart())}
-	newest, err := s.newest(ctx, p, time.Now())
+	newest, err := s.newest(ctx, p)
 	reply := &messenger.NewestReply{Fault: toFault(err), End: newest.End}
 	for _, i := range newest.Items {
 		reply.Items = append(reply.Items, &messenger.Item{Key: i.Key, Value: i.Value, Offset: i.Offset})
@@ -51,9 +50,9 @@
 }
 
 // newest returns the newest record of each key from memory or from the store.
-func (s Server) newest(ctx context.Context, p connector.Partition, now time.Time) (connector.Newest, error) {
+func (s Server) newest(ctx context.Context, p connector.Partition) (connector.Newest, error) {
 	if s.Followed != nil {
-		if newest, ok := s.Followed(p, now); ok {
+		if newest, ok := s.Followed(p); ok {
 			return newest, nil
 		}
 	}
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -30,6 +30,9 @@
 	partition connector.Partition
 	// apply is called for each record.
 	apply func(change)
+	// confirm is called with an uptime at which the records applied so far were the newest; nil
+	// if nobody asks.
+	confirm func(at time.Duration)
 	// removeAbsent is called after the newest record of each key was read; present
 	// has the keys that have a record. It is nil if absent keys need no removal.
 	removeAbsent func(present map[string]bool, offset int64, usableUntil, now time.Time)
@@ -51,6 +54,7 @@
 	if !f.snapshotRead {
 		return f.readNewest(ctx)
 	}
+	asked := f.watcher.config.Uptime()
 	page, err := f.watcher.config.Store.Read(ctx, f.partition, f.nextOffset, wait)
 	var trimmed *connector.TrimmedError
 	if errors.As(err, &trimmed) {
@@ -69,6 +73,9 @@
 	if len(page.Values) == 0 && page.End < f.nextOffset {
 		f.snapshotRead = false
 	}
+	if page.End == f.nextOffset {
+		f.confirmNewest(asked)
+	}
 	return nil
 }
 
@@ -90,6 +97,7 @@
 // readNewest reads and applies the newest record of each key, and passes the keys
 // that have a record to removeAbsent.
 func (f *follower) readNewest(ctx context.Context) error {
+	asked := f.watcher.config.Uptime()
 	newest, err := f.watcher.config.Store.Newest(ctx, f.partition)
 	if err != nil {
 		return fmt.Errorf("read newest records of %s: %w", f.partition, err)
@@ -110,10 +118,21 @@
 	}
 	f.nextOffset = from
 	f.snapshotRead = true
-	f.watcher.keepNewest(f.partition, newest, now)
+	// Another host may have answered with records that it read a while ago.
+	confirmedAt := asked - snapshotMaxAge
+	f.watcher.keepNewest(f.partition, newest, confirmedAt)
+	f.confirmNewest(confirmedAt)
 	return nil
 }
 
+// confirmNewest records that the records applied so far were the newest at an uptime.
+func (f *follower) confirmNewest(at time.Duration) {
+	f.watcher.renewSnapshot(f.partition, at)
+	if f.confirm != nil {
+		f.confirm(at)
+	}
+}
+
 // recordAnswer records the time of an answer of the store. If the answer ends an
 // outage, upstreams that are removed within the next removalGrace stay usable until
 // the end of that period: their records may have expired during the outage, and the
@@ -124,5 +143,4 @@
 		f.usableUntil = now.Add(removalGrace)
 	}
 	f.lastAnswer = now
-	f.watcher.renewSnapshot(f.partition, now)
 }
--- a/watcher/snapshot.go
+++ b/watcher/snapshot.go
@@ -6,26 +6,27 @@
 	"github.com/citronpier/citronpier/connector"
 )
 
-// snapshotMaxAge is how long after the last answer of the store the records of a
-// partition are passed on to other hosts, which then follow the partition themselves.
-const snapshotMaxAge = 2 * time.Second
+// snapshotMaxAge is the age up to which the records of a partition are passed on to other
+// hosts, which then follow the partition themselves. It is above the age that they reach while
+// the store answers: a read waits for configurationWait.
+const snapshotMaxAge = 3 * time.Second
 
 // snapshot holds the newest record of each key of a partition that is followed.
 type snapshot struct {
 	items map[string]connector.Item
 	// end is the offset of the next record to read.
 	end int64
-	// readAt is when the store last answered.
-	readAt time.Time
+	// confirmedAt is the uptime at which the records were known to be the newest.
+	confirmedAt time.Duration
 }
 
 // Followed returns the newest record of each key of a partition, and true, if this
-// Watcher follows the partition and the store has answered recently.
-func (w *Watcher) Followed(p connector.Partition, now time.Time) (connector.Newest, bool) {
+// Watcher follows the partition and its records were confirmed recently.
+func (w *Watcher) Followed(p connector.Partition) (connector.Newest, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, ok := w.followed[p]
-	if !ok || now.Sub(s.readAt) > snapshotMaxAge {
+	if !ok || w.config.Uptime()-s.confirmedAt > snapshotMaxAge {
 		return connector.Newest{}, false
 	}
 	newest := connector.Newest{End: s.end}
@@ -36,10 +37,10 @@
 }
 
 // keepNewest replaces the records of a partition.
-func (w *Watcher) keepNewest(p connector.Partition, newest connector.Newest, now time.Time) {
+func (w *Watcher) keepNewest(p connector.Partition, newest connector.Newest, confirmedAt time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := &snapshot{items: make(map[string]connector.Item), end: newest.End, readAt: now}
+	s := &snapshot{items: make(map[string]connector.Item), end: newest.End, confirmedAt: confirmedAt}
 	for _, item := range newest.Items {
 		s.items[item.Key] = item
 	}
@@ -65,11 +66,11 @@
 	}
 }
 
-// renewSnapshot records that the store has answered a read of a partition.
-func (w *Watcher) renewSnapshot(p connector.Partition, now time.Time) {
+// renewSnapshot records the uptime at which the records of a partition were the newest.
+func (w *Watcher) renewSnapshot(p connector.Partition, confirmedAt time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if s, ok := w.followed[p]; ok {
-		s.readAt = now
+		s.confirmedAt = max(s.confirmedAt, confirmedAt)
 	}
 }
--- a/watcher/snapshot_test.go
+++ b/watcher/snapshot_test.go
@@ -16,7 +16,7 @@
 func TestFollowed(t *testing.T) {
 	runWatcher(t, direct, func(t *testing.T, f *fixture) {
 		passedOn := func() (values map[string]string, end int64, ok bool) {
-			newest, ok := f.watcher.Followed(upstreams, time.Now())
+			newest, ok := f.watcher.Followed(upstreams)
 			values = make(map[string]string)
 			for _, item := range newest.Items {
 				values[item.Key] = string(item.Value)
@@ -39,7 +39,7 @@
 		if _, _, ok := passedOn(); ok {
 			t.Error("old records are passed on while the store is unreachable")
 		}
-		if _, ok := f.watcher.Followed(connector.Partition{Topic: "other"}, time.Now()); ok {
+		if _, ok := f.watcher.Followed(connector.Partition{Topic: "other"}); ok {
 			t.Error("records of a partition that is not followed are passed on")
 		}
 	})
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/internal/uptime"
 	"github.com/citronpier/citronpier/internal/waiter"
 )
 
@@ -25,6 +26,9 @@
 	// retryPause is the pause before the next read after a read failed, or returned
 	// at once without a new record.
 	retryPause = 200 * time.Millisecond
+	// minConfirmationWait is how long a read of the configuration may take at least before it
+	// is given up because the configuration is too old.
+	minConfirmationWait = 300 * time.Millisecond
 	// outageThreshold is how long reads must fail to count as an outage, in which
 	// records of upstreams may have expired because they could not be renewed.
 	outageThreshold = time.Second
@@ -56,7 +60,13 @@
 	Upstreams      connector.Partition
 	// Changed is called after each new configuration and after the first read of
 	// the upstreams.
-	Changed  func()
+	Changed func()
+	// Uptime returns the time since boot; nil means uptime.Now.
+	Uptime func() time.Duration
+	// MaxAge is the age of the configuration that must not be exceeded while any host reaches
+	// the store: a read that takes longer than half of it is given up and repeated. 0 is no
+	// limit.
+	MaxAge   time.Duration
 	Counters *counter.Set
 	Logger   zerolog.Logger
 }
@@ -68,7 +78,9 @@
 
 	mu            sync.Mutex
 	configuration descriptor.Configuration
-	list          List
+	// confirmedAt is the uptime at which the configuration was known to be the newest.
+	confirmedAt time.Duration
+	list        List
 	// followed holds the newest records of each partition that is followed.
 	followed map[connector.Partition]*snapshot
 	// upstreamsRead is true once the upstreams have been read completely.
@@ -81,6 +93,9 @@
 // New returns a Watcher. It reads nothing until RunConfiguration and RunUpstreams
 // are called.
 func New(c Config) *Watcher {
+	if c.Uptime == nil {
+		c.Uptime = uptime.Now
+	}
 	return &Watcher{config: c, rereads: make(chan struct{}, 1), followed: make(map[connector.Partition]*snapshot)}
 }
 
@@ -92,6 +107,30 @@
 	return w.configuration
 }
 
+// ConfigurationAge returns how long ago the configuration was known to be the newest. The age
+// goes on while the machine is suspended.
+func (w *Watcher) ConfigurationAge() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.config.Uptime() - w.confirmedAt
+}
+
+// confirm records that the configuration was the newest at an uptime.
+func (w *Watcher) confirm(at time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.confirmedAt = max(w.confirmedAt, at)
+}
+
+// overdue returns a channel that receives once the configuration has half of the age that it
+// must not exceed, or nil if its age has no limit.
+func (w *Watcher) overdue() <-chan time.Time {
+	if w.config.MaxAge == 0 {
+		return nil
+	}
+	return time.After(max(minConfirmationWait, w.config.MaxAge/2-w.ConfigurationAge()))
+}
+
 // List returns the list of upstreams. It returns false until the list has been
 // read from the store for the first time.
 func (w *Watcher) List() (List, bool) {
@@ -112,7 +151,7 @@
 
 // RunConfiguration follows the configuration until ctx ends. It returns nil.
 func (w *Watcher) RunConfiguration(ctx context.Context) error {
-	f := &follower{watcher: w, partition: w.config.Configurations, apply: w.applyConfiguration}
+	f := &follower{watcher: w, partition: w.config.Configurations, apply: w.applyConfiguration, confirm: w.confirm}
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithCancel(ctx)
 		waiterDone := make(chan struct{})
@@ -121,6 +160,8 @@
 			select {
 			case <-w.rereads:
 				cancel()
+			case <-w.overdue():
+				cancel()
 			case <-readCtx.Done():
 			}
 		}()
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -77,8 +77,10 @@
 			}
 			return key, value
 		}
+		booted := time.Now()
 		f.watcher = watcher.New(watcher.Config{
-			Store: wrap(f.store.Host("h")), Decoder: decoder{}, Configurations: configurations, Upstreams: upstreams,
+			Uptime: func() time.Duration { return time.Since(booted) },
+			Store:  wrap(f.store.Host("h")), Decoder: decoder{}, Configurations: configurations, Upstreams: upstreams,
 			Changed: func() {}, Counters: &counter.Set{}, Logger: zerolog.Nop(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
