Read again as soon as the store answers after an outage

Callers saw: hosts that had started during an outage refused requests ("no configuration is known yet") up to 1.5 s after the store was back.

Change: a read of the newest records is repeated once when another call shows that the store answers again. The test fails without it (returns 1.3 s after the store is back).

--- a/relayer/newest_test.go
+++ b/relayer/newest_test.go
@@ -136,3 +136,36 @@
 		}
 	})
 }
+
+func (s silentStore) Append(ctx context.Context, _ connector.Partition, _ [][]byte, _ int64) (connector.Appended, error) {
+	if time.Now().Before(s.until) {
+		<-ctx.Done()
+		return connector.Appended{}, &connector.LostError{Cause: ctx.Err()}
+	}
+	return connector.Appended{}, nil
+}
+
+// A read that began in an outage waits for its next repetition although another call shows
+// that the store is back.
+func TestReadWaitsAlthoughStoreAnswersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		back := start.Add(1700 * time.Millisecond)
+		r := relayer.New(relayer.Config{
+			Direct: silentStore{until: back}, Relays: func() []relayer.Relay { return nil },
+			Counters: &counter.Set{}, Logger: zerolog.Nop(),
+		})
+		go func() {
+			for {
+				if _, err := r.Append(t.Context(), partition, nil, connector.AnyEnd); err == nil {
+					return
+				}
+				time.Sleep(250 * time.Millisecond)
+			}
+		}()
+		_, err := r.Newest(t.Context(), partition)
+		if late := time.Since(back); err != nil || late > 100*time.Millisecond {
+			t.Errorf("error %v, %s after the store was back", err, late)
+		}
+	})
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -81,6 +81,9 @@
 	byPartition map[connector.Partition]directCalls
 	// lastFailure is when a direct call to any partition last failed.
 	lastFailure time.Time
+	// recovered is closed when the store answers this host after calls have failed, and then
+	// replaced. It is created on first use.
+	recovered chan struct{}
 	// lossLogged is true once this host has logged that the store is unreachable,
 	// until the next answer of the store.
 	lossLogged bool
@@ -169,6 +172,9 @@
 			r.config.Logger.Info().Str("partition", p.String()).Dur("since_ms", now.Sub(r.lastFailure)).Msg("store reachable again")
 		}
 		r.lossLogged = false
+		if !old.lastFailure.IsZero() {
+			r.announceRecovery()
+		}
 		return
 	}
 	r.byPartition[p] = directCalls{lastAnswer: old.lastAnswer, lastFailure: now}
@@ -182,6 +188,25 @@
 	}
 }
 
+// announceRecovery wakes the reads that wait for an answer. The caller must hold r.mu.
+func (r *Relayer) announceRecovery() {
+	if r.recovered != nil {
+		close(r.recovered)
+		r.recovered = nil
+	}
+}
+
+// whenRecovered returns a channel that is closed when the store answers this host after calls
+// have failed.
+func (r *Relayer) whenRecovered() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.recovered == nil {
+		r.recovered = make(chan struct{})
+	}
+	return r.recovered
+}
+
 // isAnswer reports whether err means that the store answered the call. Besides
 // success, these are the answers that a partition ends at another offset than an
 // append expected, that the records of a read have been trimmed, and that a call is too
@@ -281,12 +306,13 @@
 }
 
 // Newest implements connector.Store. If the store does not answer within directTimeout,
-// relays are asked while the direct read goes on; after newestRepeat the direct read is
-// repeated beside it. The first answer counts. The relays mostly answer from memory.
+// relays are asked while the direct read goes on. The direct read is repeated beside it after
+// newestRepeat, and once when another call shows that the store answers again. The first
+// answer counts. The relays mostly answer from memory.
 func (r *Relayer) Newest(ctx context.Context, p connector.Partition) (connector.Newest, error) {
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
-	const reads = 1 + int(newestTimeout/newestRepeat)
+	const reads = 2 + int(newestTimeout/newestRepeat)
 	results := make(chan newestResult, reads+MaxRelays)
 	readDirectly := func() {
 		newest, err := r.config.Direct.Newest(ctx, p)
@@ -297,8 +323,13 @@
 	askRelays := time.After(directTimeout)
 	repeat := time.NewTicker(newestRepeat)
 	defer repeat.Stop()
+	recovered := r.whenRecovered()
 	for {
 		select {
+		case <-recovered:
+			recovered = nil
+			pending++
+			go readDirectly()
 		case <-repeat.C:
 			pending++
 			go readDirectly()
