--- a/entry_status.go
+++ b/entry_status.go
@@ -27,6 +27,9 @@
 	// Configuration is the version of the configuration in force; 0 means that
 	// there is none.
 	Configuration int64 `json:"configuration"`
+	// ConfigurationAge is how long ago the configuration was known to be the newest, in
+	// milliseconds.
+	ConfigurationAge int64 `json:"configuration_age_ms"`
 	// StoreReachable is true if the store has answered this host recently.
 	StoreReachable bool `json:"stored"`
 	// Active is the number of requests being served.
@@ -71,16 +74,17 @@
 // upstreams.
 func (e *Entry) Status(now time.Time) EntryStatus {
 	return EntryStatus{
-		Host:           e.config.Host,
-		Incarnation:    e.incarnation,
-		Ready:          e.Ready(),
-		Leaving:        e.Stopping(),
-		Configuration:  e.watcher.Configuration().Version,
-		StoreReachable: e.relayer.ReachesDirectly(now),
-		Active:         e.active.Load(),
-		Shards:         e.keeper.Status(),
-		Hosts:          e.peerStatuses(),
-		Upstreams:      e.upstreamStatuses(now),
+		Host:             e.config.Host,
+		Incarnation:      e.incarnation,
+		Ready:            e.Ready(),
+		Leaving:          e.Stopping(),
+		Configuration:    e.watcher.Configuration().Version,
+		ConfigurationAge: e.watcher.ConfigurationAge().Milliseconds(),
+		StoreReachable:   e.relayer.ReachesDirectly(now),
+		Active:           e.active.Load(),
+		Shards:           e.keeper.Status(),
+		Hosts:            e.peerStatuses(),
+		Upstreams:        e.upstreamStatuses(now),
 	}
 }
 
