--- a/cmd/citronpier/queries.go
+++ b/cmd/citronpier/queries.go
@@ -81,32 +81,6 @@
 	return e.Encode(v)
 }
 
-func checkQuery() *cli.Command {
-	return &cli.Command{
-		Name:         "check",
-		Usage:        "check a rule file; every mistake is printed with its line and column",
-		ArgsUsage:    "FILE",
-		Category:     categoryQueries,
-		OnUsageError: onUsageError,
-		Flags:        []cli.Flag{jsonFlag()},
-		Action: func(_ context.Context, c *cli.Command) error {
-			text, err := readFile(c)
-			if err != nil {
-				return err
-			}
-			rules, err := parser.Parser{}.Parse(text)
-			if c.Bool(flagJSON) {
-				return printCheck(rules, err)
-			}
-			if err != nil {
-				return err
-			}
-			fmt.Printf("%d rules, no mistakes\n", len(rules.List))
-			return nil
-		},
-	}
-}
-
 // checkResult is the JSON output of the check command.
 type checkResult struct {
 	Rules  int            `json:"rules"`
