Add the bucket of an organisation's home and the credit pool of a host

Callers saw: allowances of organisations were not enforced.

Change: package granter has the parts that decide, without clocks or sockets: the home's bucket with the reduced rate of homes that no majority follows, the bucket for programs that begin with the learned mean of their requests, and a host's pool with credits that expire.

--- /dev/null
+++ b/granter/home.go
@@ -0,0 +1,250 @@
+package granter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Validity is how long a host may spend a credit after it sent the request for it.
+	Validity = 5 * time.Second
+	// expiryMargin is how much longer the home counts a credit as unspent.
+	expiryMargin = time.Second
+	// minRetry and maxRetry bound the time after which a host asks again after a refusal.
+	// Below minRetry, excess requests would cost a message each.
+	minRetry = 50 * time.Millisecond
+	maxRetry = 5 * time.Second
+	// maxReducedRetry bounds it at a home of a few hosts, as another home may grant more.
+	maxReducedRetry = 300 * time.Millisecond
+	// probation is the time in which a new home grants the reduced rate, because another host
+	// may still be home of others. It ends after minProbation if more than half of the
+	// registered hosts have asked this one. Hosts detect a failure within 1.4 s of each other.
+	probation    = 1500 * time.Millisecond
+	minProbation = 700 * time.Millisecond
+	// recentClaim is the time for which a host counts among those that follow a home.
+	recentClaim = time.Second
+	// shortFraction is the part of the bucket's capacity below which it counts as short, and
+	// reserveFraction the part kept for programs that have begun.
+	shortFraction   = 0.5
+	reserveFraction = 0.25
+	// advanceFraction is the part of what is left that one host gets in advance.
+	advanceFraction = 0.5
+)
+
+// Claim is what a host asks the home of an organisation for.
+type Claim struct {
+	// Host is the asking host and Run its incarnation. Number orders the claims of a run.
+	Host, Run string
+	Number    int64
+	// Held is the number of credits that the host holds unspent, and Wanted the number that
+	// it asks for in advance.
+	Held, Wanted int
+	// Waiting is the number of waiting requests that begin no program, and Beginning the
+	// number of those that do.
+	Waiting, Beginning int
+	// Programs is the number of programs that have begun with credits got in advance, and
+	// Requests the number of requests sent, since the last claim.
+	Programs, Requests int
+}
+
+// Grant is the answer to a claim. The zero value grants nothing and refuses nothing.
+type Grant struct {
+	// Credits is the number of credits, and Beginnings the number of further credits for
+	// requests that begin programs.
+	Credits, Beginnings int
+	// Retry is after how long to ask again for requests that begin no program, and
+	// RetryBeginning for those that do; 0 if none was refused.
+	Retry, RetryBeginning time.Duration
+	// Short means that requests that begin programs have to ask.
+	Short bool
+}
+
+// hold is what a host holds as its home knows it.
+type hold struct {
+	run     string
+	number  int64
+	credits int
+	claimed time.Duration
+}
+
+// Home is the bucket of one organisation at its home. The zero value has granted nothing. It is
+// not safe for concurrent use.
+type Home struct {
+	terms    Terms
+	bucket   bucket
+	level    float64
+	at       time.Duration
+	since    time.Duration
+	begun    bool
+	away     bool
+	holds    map[string]hold
+	programs programs
+}
+
+// Level returns the credits in the bucket, and Held those that hosts hold unspent.
+func (h *Home) Level() float64 { return h.level }
+
+// Held returns the credits that hosts hold unspent, as far as the home knows.
+func (h *Home) Held(now time.Duration) int {
+	held := 0
+	for _, o := range h.holds {
+		if now-o.claimed < Validity+expiryMargin {
+			held += o.credits
+		}
+	}
+	return held
+}
+
+// Mean returns the learned number of requests of a program.
+func (h *Home) Mean() float64 { return h.programs.mean() }
+
+// Reduced reports whether the home grants less than the full rate.
+func (h *Home) Reduced() bool { return h.bucket.perSecond < h.terms.PerSecond }
+
+// Tick brings the bucket to now. It must be called when the host's view changes.
+func (h *Home) Tick(t Terms, s Standing, now time.Duration) {
+	switch {
+	case !h.begun:
+		h.begin(t, max(s.Resumed, s.Stable))
+	case h.since < s.Resumed:
+		h.restart(t, s.Resumed)
+	case h.away && s.Home:
+		h.restart(t, now)
+	}
+	h.away = !s.Home
+	h.terms = t
+	b := t.full()
+	if !h.established(s, now) {
+		b = t.reduced(s.share(h.followers(s, now)))
+		if h.bucket == t.full() {
+			h.level = min(h.level, b.capacity)
+		}
+	}
+	h.bucket = b
+	start := b.capacity
+	if !s.Home {
+		start = t.start()
+	}
+	h.level = b.fill(h.level, start, max(0, now-h.at))
+	h.at = max(h.at, now)
+	h.programs.tick(t, b.perSecond, now)
+}
+
+// begin starts the bucket of a home.
+func (h *Home) begin(t Terms, since time.Duration) {
+	h.begun, h.since, h.at = true, since, since
+	h.level = t.start()
+	h.holds = make(map[string]hold)
+}
+
+// restart starts the bucket again, because another home may have granted credits meanwhile.
+func (h *Home) restart(t Terms, since time.Duration) {
+	h.since, h.at = since, since
+	h.level = min(h.level, t.start())
+	clear(h.holds)
+}
+
+// established reports whether no other host grants the full rate.
+func (h *Home) established(s Standing, now time.Duration) bool {
+	if !s.Home || !s.majority() {
+		return false
+	}
+	age := now - h.since
+	return age >= probation || age >= minProbation && 2*h.claimants(now) > s.Registered
+}
+
+// followers returns the number of hosts for which this one is home.
+func (h *Home) followers(s Standing, now time.Duration) int {
+	if s.Home {
+		return s.Live
+	}
+	return h.claimants(now)
+}
+
+// claimants returns the number of hosts that have asked recently.
+func (h *Home) claimants(now time.Duration) int {
+	n := 0
+	for _, o := range h.holds {
+		if now-o.claimed <= recentClaim {
+			n++
+		}
+	}
+	return n
+}
+
+// Claim answers a claim. It returns false for a claim that was overtaken by a later one of
+// the same host, or repeated.
+func (h *Home) Claim(c Claim, t Terms, s Standing, now time.Duration) (Grant, bool) {
+	h.Tick(t, s, now)
+	previous := h.holds[c.Host]
+	if previous.run == c.Run && c.Number <= previous.number {
+		return Grant{}, false
+	}
+	h.holds[c.Host] = hold{run: c.Run, number: c.Number, credits: c.Held, claimed: now}
+	h.Tick(t, s, now)
+	h.programs.learn(c.Programs, c.Requests)
+	g := Grant{Short: h.short() || h.programs.indebted()}
+	h.grantWaiting(c, &g)
+	h.grantBeginning(c, &g)
+	advance := h.advance(c, now)
+	g.Credits += advance
+	h.holds[c.Host] = hold{run: c.Run, number: c.Number, credits: c.Held + advance, claimed: now}
+	return g, true
+}
+
+// short reports whether the bucket is so low that programs need credit to begin.
+func (h *Home) short() bool { return h.level < shortFraction*h.bucket.capacity }
+
+// reserve returns the credits that are kept for programs that have begun.
+func (h *Home) reserve() float64 {
+	if !h.short() {
+		return 0
+	}
+	return reserveFraction * h.bucket.capacity
+}
+
+// grantWaiting grants credits for requests that begin no program.
+func (h *Home) grantWaiting(c Claim, g *Grant) {
+	n := min(c.Waiting, max(0, int(math.Floor(h.level))))
+	h.level -= float64(n)
+	g.Credits = n
+	if n < c.Waiting {
+		h.programs.overdraw(c.Waiting - n)
+		g.Retry = h.retry(h.bucket.until(h.level, 1))
+	}
+}
+
+// grantBeginning grants credits for requests that begin programs.
+func (h *Home) grantBeginning(c Claim, g *Grant) {
+	for range c.Beginning {
+		needed := min(h.bucket.capacity, 1+h.reserve())
+		if h.level < needed || !h.programs.mayBegin(h.short()) {
+			g.RetryBeginning = h.retry(max(h.bucket.until(h.level, needed), h.programs.wait()))
+			g.Short = true
+			return
+		}
+		h.level--
+		h.programs.began(1)
+		g.Beginnings++
+	}
+}
+
+// retry returns after how long to ask again if credit is expected after the given time.
+func (h *Home) retry(expected time.Duration) time.Duration {
+	if h.Reduced() {
+		expected = min(expected, maxReducedRetry)
+	}
+	return max(minRetry, expected)
+}
+
+// advance returns the credits that the host gets in advance.
+func (h *Home) advance(c Claim, now time.Duration) int {
+	if h.Reduced() {
+		return 0
+	}
+	room := math.Floor(heldFraction*h.terms.slack()) - float64(h.Held(now))
+	spare := math.Floor(advanceFraction * (h.level - h.reserve()))
+	n := max(0, min(c.Wanted, int(room), int(spare)))
+	h.level -= float64(n)
+	return n
+}
--- /dev/null
+++ b/granter/pool.go
@@ -0,0 +1,200 @@
+package granter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// advanceTime is the time for which a host holds credits in advance, and minAdvanceRate
+	// the requests a second from which it holds any: credits that expire are lost.
+	advanceTime    = 300 * time.Millisecond
+	minAdvanceRate = 0.7
+	// demandTime is the time over which the requests a second are averaged.
+	demandTime = 2 * time.Second
+)
+
+// Verdict is the answer of a pool to a request: Granted, Refused or Asked.
+type Verdict interface{ verdict() }
+
+// Granted means that the request may be sent. Credit is what it has spent.
+type Granted struct{ Credit Credit }
+
+// Refused means that the organisation is over its allowance. Retry is after how long credit is
+// expected.
+type Refused struct{ Retry time.Duration }
+
+// Asked means that the home has to be asked.
+type Asked struct{}
+
+func (Granted) verdict() {}
+func (Refused) verdict() {}
+func (Asked) verdict()   {}
+
+// Credit is the right to send one request until it expires.
+type Credit struct{ Expires time.Duration }
+
+// lot is credits that expire together.
+type lot struct {
+	credits, beginnings int
+	expires             time.Duration
+}
+
+// Pool holds the credits of one organisation on one host. The zero value is empty. It is not
+// safe for concurrent use.
+type Pool struct {
+	terms Terms
+	lots  []lot
+	// demand is the requests a second, and arrived when the last one arrived.
+	demand  float64
+	arrived time.Duration
+	// short is what the home last said of its bucket.
+	short bool
+	// refused is until when requests are refused that begin no program, and refusedBeginning
+	// until when those that do.
+	refused, refusedBeginning time.Duration
+	// told is when the home last answered.
+	told               time.Duration
+	programs, requests int
+}
+
+// Told returns when the home last answered; 0 if it never did.
+func (p *Pool) Told() time.Duration { return p.told }
+
+// Idle reports whether the pool has not been used for a time.
+func (p *Pool) Idle(after, now time.Duration) bool { return now-p.arrived > after && p.Held(now) == 0 }
+
+// Arrive counts a request under the terms in force. Credits of more generous terms are dropped.
+func (p *Pool) Arrive(t Terms, now time.Duration) {
+	if t != p.terms {
+		if t.lowerThan(p.terms) {
+			p.lots = p.lots[:0]
+		}
+		p.terms, p.refused, p.refusedBeginning = t, 0, 0
+	}
+	p.demand = p.rate(now) + 1/demandTime.Seconds()
+	p.arrived = now
+}
+
+// rate returns the requests a second at now.
+func (p *Pool) rate(now time.Duration) float64 {
+	return p.demand * math.Exp(-(now-p.arrived).Seconds()/demandTime.Seconds())
+}
+
+// Take spends a credit for a request.
+func (p *Pool) Take(begins bool, now time.Duration) Verdict {
+	p.expire(now)
+	for i := range p.lots {
+		l := &p.lots[i]
+		switch {
+		case begins && l.beginnings > 0:
+			l.beginnings--
+		case l.credits > 0 && (!begins || !p.short):
+			l.credits--
+			if begins {
+				p.programs++
+			}
+		default:
+			continue
+		}
+		p.requests++
+		return Granted{Credit: Credit{Expires: l.expires}}
+	}
+	until := p.refused
+	if begins {
+		until = max(until, p.refusedBeginning)
+	}
+	if now < until {
+		return Refused{Retry: until - now}
+	}
+	return Asked{}
+}
+
+// Return puts a credit back whose request was not sent.
+func (p *Pool) Return(c Credit, now time.Duration) {
+	if now >= c.Expires {
+		return
+	}
+	p.requests--
+	p.add(lot{credits: 1, expires: c.Expires})
+}
+
+// add adds credits in the order of their expiry.
+func (p *Pool) add(l lot) {
+	for i := range p.lots {
+		if p.lots[i].expires == l.expires {
+			p.lots[i].credits += l.credits
+			p.lots[i].beginnings += l.beginnings
+			return
+		}
+	}
+	at := len(p.lots)
+	for at > 0 && p.lots[at-1].expires > l.expires {
+		at--
+	}
+	p.lots = append(p.lots, lot{})
+	copy(p.lots[at+1:], p.lots[at:])
+	p.lots[at] = l
+}
+
+// expire drops credits that are spent or have expired.
+func (p *Pool) expire(now time.Duration) {
+	kept := p.lots[:0]
+	for _, l := range p.lots {
+		if l.expires > now && l.credits+l.beginnings > 0 {
+			kept = append(kept, l)
+		}
+	}
+	p.lots = kept
+}
+
+// Held returns the number of unspent credits.
+func (p *Pool) Held(now time.Duration) int {
+	held := 0
+	for _, l := range p.lots {
+		if l.expires > now {
+			held += l.credits + l.beginnings
+		}
+	}
+	return held
+}
+
+// Wanted returns the number of credits that the host should ask for in advance, or 0 if it
+// holds enough.
+func (p *Pool) Wanted(now time.Duration) int {
+	perSecond := p.rate(now)
+	if perSecond < minAdvanceRate || p.terms.slack() == 0 || now < p.refused {
+		return 0
+	}
+	target := max(1, int(math.Round(perSecond*advanceTime.Seconds())))
+	held := p.Held(now)
+	if 2*held > target {
+		return 0
+	}
+	return target - held
+}
+
+// Claim returns the claim for a number of waiting requests.
+func (p *Pool) Claim(waiting, beginning int, now time.Duration) Claim {
+	c := Claim{
+		Held: p.Held(now), Wanted: p.Wanted(now), Waiting: waiting, Beginning: beginning,
+		Programs: p.programs, Requests: max(0, p.requests),
+	}
+	p.programs, p.requests = 0, 0
+	return c
+}
+
+// Settle takes over the answer to a claim that was sent at the given time.
+func (p *Pool) Settle(g Grant, sent, now time.Duration) {
+	if g.Credits+g.Beginnings > 0 {
+		p.add(lot{credits: g.Credits, beginnings: g.Beginnings, expires: sent + Validity})
+	}
+	p.short, p.told = g.Short, now
+	p.refused, p.refusedBeginning = 0, 0
+	if g.Retry > 0 {
+		p.refused = now + g.Retry
+	}
+	if g.RetryBeginning > 0 {
+		p.refusedBeginning = now + g.RetryBeginning
+	}
+}
