Take a credit of the organisation for each request before it is sent

Cause: the forwarder sent requests without regard to rate_per_s and burst.

Change: the forwarder takes a credit once per request after authentication and before anything is reserved, and gives it back if the request is refused unsent. Hosts ask the home of the organisation, one call at a time per home; a host that is not home passes the call on, and grants a reduced rate only if the home does not answer. 429 rate with a spread Retry-After is over the limit, 503 home means that no home was reached.

--- a/entry.go
+++ b/entry.go
@@ -22,6 +22,7 @@
 	"github.com/citronpier/citronpier/exchanger"
 	"github.com/citronpier/citronpier/forwarder"
 	"github.com/citronpier/citronpier/gossiper"
+	"github.com/citronpier/citronpier/internal/uptime"
 	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/isolator"
 	"github.com/citronpier/citronpier/keeper"
@@ -89,6 +90,8 @@
 	// Revocation is the time after which a revoked key must not work any more, also on hosts
 	// that don't reach the store; 0 if there is no such bound.
 	Revocation time.Duration
+	// Allowances is how exactly the hosts keep the allowances of organisations.
+	Allowances AllowanceBounds
 	Logger     zerolog.Logger
 }
 
@@ -123,6 +126,8 @@
 	forwarder *forwarder.Forwarder
 	peers     peerClients
 	members   memberCache
+	// allowances has the credits of organisations.
+	allowances *allowances
 	// background is the context of all background work. Run calls cancel when it
 	// returns.
 	background context.Context
@@ -177,6 +182,11 @@
 	})
 	e.exchanger = exchanger.New(c.Codec, dialOr(c.Dial, exchanger.UnackedUpstream)).WithMemory(c.Memory)
 	e.peers.dial, e.peers.memory = dialOr(c.Dial, exchanger.UnackedPeer), c.Memory
+	e.allowances = newAllowances(allowancesConfig{
+		Self: c.Host.ID, Run: e.incarnation, Bounds: c.Allowances,
+		Organisations: func() descriptor.Organisations { return e.watcher.Configuration().Organisations },
+		Hosts:         e.homes, Open: e.allowanceHome, Uptime: uptime.Now, Background: e.background, Logger: e.config.Logger,
+	})
 	e.forwarder = e.newForwarder()
 	return e
 }
@@ -188,6 +198,7 @@
 		DataCentre:       c.Host.DataCentre,
 		ConfigurationAge: e.watcher.ConfigurationAge,
 		Authentication:   authenticationPolicy(c.Revocation),
+		Allowances:       e.allowances,
 		Shards:           len(c.Shards),
 		Configuration:    e.watcher.Configuration,
 		Upstreams:        e.watcher.List,
@@ -258,7 +269,7 @@
 		group.Go(func() error { return ignoreClosed(s.Serve(endpoint.Listener)) })
 	}
 	for _, task := range []func(context.Context) error{
-		e.gossiper.Run, e.watcher.RunConfiguration, e.watcher.RunUpstreams, e.followHosts, e.runMaintenance, e.confirmCrashes,
+		e.gossiper.Run, e.watcher.RunConfiguration, e.watcher.RunUpstreams, e.followHosts, e.runMaintenance, e.confirmCrashes, e.allowances.run,
 	} {
 		group.Go(func() error { return task(background) })
 	}
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -244,10 +244,13 @@
 		return err
 	}
 	now := time.Now()
+	var registered []string
 	for _, item := range newest.Items {
+		registered = append(registered, item.Key)
 		if item.Key != e.config.Host.Peer {
 			e.gossiper.AddPeer(item.Key, now)
 		}
 	}
+	e.allowances.setRegistered(registered)
 	return nil
 }
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -23,6 +23,7 @@
 type peerClient struct {
 	messenger.Ledger
 	messenger.Mirror
+	allowances messenger.Allowances
 }
 
 // Find looks for a turn in the shards that the other host is home of.
@@ -73,6 +74,8 @@
 	c := peerClient{
 		Ledger: messenger.NewLedgerProtobufClient(url, p.http),
 		Mirror: messenger.NewMirrorProtobufClient(url, p.http),
+
+		allowances: messenger.NewAllowancesProtobufClient(url, p.http),
 	}
 	p.clients[address] = c
 	return c
@@ -87,6 +90,11 @@
 	}
 }
 
+// allowanceHome returns the client of another host that is home of organisations.
+func (e *Entry) allowanceHome(h descriptor.Host) messenger.Allowances {
+	return e.peers.get(h.Peer).allowances
+}
+
 // localHome implements navigator.Home for the shards that this host is home of:
 // it calls the host's keeper directly.
 type localHome struct{ keeper *keeper.Keeper }
@@ -139,6 +147,8 @@
 	mirrors := messenger.NewMirrorServer(mirrorServer{home, relay})
 	mux.Handle(ledgers.PathPrefix(), ledgers)
 	mux.Handle(mirrors.PathPrefix(), mirrors)
+	allowances := messenger.NewAllowancesServer(allowanceServer{e.allowances})
+	mux.Handle(allowances.PathPrefix(), allowances)
 	return mux
 }
 
--- /dev/null
+++ b/forwarder/allowance.go
@@ -0,0 +1,147 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/granter"
+	"github.com/citronpier/citronpier/refuser"
+)
+
+// Allowances grants the credits that requests of organisations with a limit need.
+type Allowances interface {
+	// Take spends a credit for a request, or says why there is none.
+	Take(ctx context.Context, r AllowanceRequest, now time.Time) AllowanceDecision
+	// Return gives back a credit whose request was not sent.
+	Return(organisation string, c granter.Credit)
+}
+
+// AllowanceRequest is a request that needs a credit. Begins is true if it begins a program.
+type AllowanceRequest struct {
+	Organisation descriptor.Organisation
+	Begins       bool
+}
+
+// AllowanceDecision is the answer of Allowances: AllowanceTaken, AllowanceExceeded or
+// AllowanceUnknown.
+type AllowanceDecision interface{ allowanceDecision() }
+
+// AllowanceTaken means that the request may be sent.
+type AllowanceTaken struct{ Credit granter.Credit }
+
+// AllowanceExceeded means that the organisation is over its limit. Credit is expected after
+// Retry. Age is how long ago the home of the organisation said so.
+type AllowanceExceeded struct{ Retry, Age time.Duration }
+
+// AllowanceUnknown means that no home of the organisation could be asked.
+type AllowanceUnknown struct{ Cause error }
+
+func (AllowanceTaken) allowanceDecision()    {}
+func (AllowanceExceeded) allowanceDecision() {}
+func (AllowanceUnknown) allowanceDecision()  {}
+
+const (
+	// maxKnownPrograms bounds the programs that a host remembers as begun, about 2 MB.
+	maxKnownPrograms = 8192
+	// minRetrySpread is the least time over which retries of callers are spread.
+	minRetrySpread = 500 * time.Millisecond
+	// deniedLines is the number of log lines a second for requests that are refused because
+	// of their key or their organisation's limit.
+	deniedLines = 20
+)
+
+// knownProgram names a program that this host has let begin.
+type knownProgram struct{ organisation, program string }
+
+// newKnownPrograms returns an empty set of programs.
+func newKnownPrograms() *lru.Cache[knownProgram, struct{}] {
+	programs, err := lru.New[knownProgram, struct{}](maxKnownPrograms)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return programs
+}
+
+// newDeniedLogger returns the logger for refused keys and exceeded limits.
+func newDeniedLogger(l zerolog.Logger) zerolog.Logger {
+	return l.Sample(&zerolog.BurstSampler{Burst: deniedLines, Period: time.Second})
+}
+
+// outcomeLogger returns the logger for the outcome of a request.
+func (f *Forwarder) outcomeLogger(outcome Outcome) *zerolog.Logger {
+	if o, ok := outcome.(Refused); ok && (o.Refusal.Reason == refuser.Key || o.Refusal.Reason == refuser.Rate) {
+		return &f.denied
+	}
+	return &f.config.Logger
+}
+
+// spentAllowance is the credit that a request has spent.
+type spentAllowance struct {
+	taken  bool
+	credit granter.Credit
+	// state describes why there was no credit, and age is how long ago that was known.
+	state string
+	age   time.Duration
+}
+
+// takeAllowance spends a credit of the organisation. It returns the outcome of a request that
+// gets none, and nil otherwise.
+func (e *exchange) takeAllowance(ctx context.Context, now time.Time) Outcome {
+	if e.organisation.PerSecond <= 0 || e.config.Allowances == nil {
+		return nil
+	}
+	program := knownProgram{organisation: e.organisation.Name, program: e.request.Program}
+	r := AllowanceRequest{Organisation: e.organisation, Begins: e.begins(program)}
+	switch d := e.config.Allowances.Take(ctx, r, now).(type) {
+	case AllowanceTaken:
+		e.allowance = spentAllowance{taken: true, credit: d.Credit}
+		if program.program != "" {
+			e.known.Add(program, struct{}{})
+		}
+		return nil
+	case AllowanceExceeded:
+		e.allowance.state, e.allowance.age = "exceeded", d.Age
+		return refused(refuser.New(refuser.Rate, "organisation %q is over its limit of %g requests a second with a burst of %g",
+			e.organisation.Name, e.organisation.PerSecond, e.organisation.Burst).WithRetry(e.spreadRetry(d.Retry)))
+	case AllowanceUnknown:
+		e.allowance.state = "home not reached"
+		if o := e.contextOutcome(ctx); o != nil {
+			return o
+		}
+		return refused(refuser.New(refuser.Home, "the home of organisation %q is not reached: %w", e.organisation.Name, d.Cause).
+			WithRetry(retryAfterHomeFailure))
+	default:
+		return nil
+	}
+}
+
+// returnAllowance gives the credit of a request back that was not sent.
+func (e *exchange) returnAllowance() {
+	if e.allowance.taken && e.sends == 0 {
+		e.config.Allowances.Return(e.organisation.Name, e.allowance.credit)
+	}
+}
+
+// begins reports whether the request begins a program. One without a program is a program of
+// its own.
+func (e *exchange) begins(program knownProgram) bool {
+	if program.program == "" {
+		return e.request.LastEvent == ""
+	}
+	if _, stream := e.route.Kind.(descriptor.Stream); !stream {
+		return false
+	}
+	return e.request.Previous == "" && e.request.LastEvent == "" && !e.known.Contains(program)
+}
+
+// spreadRetry returns the time after which the caller should retry. Requests that are refused
+// at once come back at different times.
+func (e *exchange) spreadRetry(expected time.Duration) time.Duration {
+	fraction := float64(xxhash.Sum64String("retry/"+e.request.ID)>>11) / (1 << 53)
+	return expected + time.Duration(fraction*float64(max(expected, minRetrySpread)))
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -41,6 +41,8 @@
 	// key of this request.
 	authenticated bool
 	organisation  descriptor.Organisation
+	// allowance is the credit of the organisation that the request has spent.
+	allowance spentAllowance
 	// version is the version of the configuration that was in force when the request
 	// arrived.
 	version int64
@@ -99,7 +101,11 @@
 	event = event.Str("id", e.request.ID).Str("fingerprint", string(e.fingerprint)).Str("route", e.route.Name).Int64("config", e.version).
 		Dur("took_ms", now.Sub(e.began)).Int("sends", e.sends)
 	if e.authenticated {
-		event = event.Str("organisation", e.organisation.Name).Str("key", e.request.Key.Short())
+		event = event.Str("organisation", e.organisation.Name).Str("key", e.request.Key.Short()).
+			Dur("config_age_ms", e.config.configurationAge())
+	}
+	if e.allowance.state != "" {
+		event = event.Str("allowance", e.allowance.state).Dur("allowance_age_ms", e.allowance.age)
 	}
 	if e.request.Program != "" {
 		event = event.Str("program", e.request.Program).Str("session", e.request.Session)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,6 +57,9 @@
 	// means that it always is. Authentication bounds this age for requests with keys.
 	ConfigurationAge func() time.Duration
 	Authentication   authenticator.Policy
+	// Allowances grants credits to organisations with a limit; nil means that limits are not
+	// kept.
+	Allowances Allowances
 	// Upstreams returns the service-discovery list of upstreams, and false until the
 	// list has been read for the first time.
 	Upstreams func() (watcher.List, bool)
@@ -96,6 +99,10 @@
 	chains *lru.Cache[string, []byte]
 	// losses has the lost requests whose upstreams may have ended.
 	losses *lossQueue
+	// known has the programs of organisations that this host has let begin.
+	known *lru.Cache[knownProgram, struct{}]
+	// denied logs refused keys and exceeded limits.
+	denied zerolog.Logger
 }
 
 const (
@@ -122,7 +129,9 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Forwarder{config: c, chains: chains, losses: &lossQueue{}}
+	return &Forwarder{
+		config: c, chains: chains, losses: &lossQueue{}, known: newKnownPrograms(), denied: newDeniedLogger(c.Logger),
+	}
 }
 
 // retryAfterStarting is the delay after which a caller should retry while the host is
@@ -180,6 +189,10 @@
 	limited, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.caller = limited
+	if o := e.takeAllowance(limited, now); o != nil {
+		return o
+	}
+	defer e.returnAllowance()
 	switch kind := route.Kind.(type) {
 	case descriptor.Stream:
 		return e.serveStream(limited, kind)
@@ -202,7 +215,7 @@
 
 // recordOutcome counts and logs how a request ended.
 func (f *Forwarder) recordOutcome(e *exchange, outcome Outcome, now time.Time) {
-	event := f.config.Logger.Info()
+	event := f.outcomeLogger(outcome).Info()
 	switch o := outcome.(type) {
 	case Answered:
 		f.config.Counters.Reached(counter.StageAnswered)
