Show allowances in status and metrics, and refuse expired credits

Callers saw: nothing yet; an operator could not see why a host refused with 429, and a host that was paused between taking a credit and sending could have sent long after the credit counted.

Change: GET /status, the entry verb and the metrics show organisations with the short digests of their keys, the allowance, the credits held and the bucket at the home. A request whose credit has expired is refused before it is sent.

--- a/cmd/citronpier/entry.go
+++ b/cmd/citronpier/entry.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -32,5 +34,28 @@
 	for _, u := range s.Upstreams {
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%.0f%%\t%.1f\n", u.Upstream, u.Service, u.Leaving, u.Running, u.Failing*100, u.Slowdown)
 	}
+	printOrganisations(t, s.Organisations)
 	return t.Flush()
 }
+
+// printOrganisations prints the allowances of organisations, if there are any.
+func printOrganisations(w io.Writer, organisations []citronpier.OrganisationStatus) {
+	if len(organisations) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(w, "\nORGANISATION\tKEYS\tRATE\tBURST\tHELD\tANSWERED\tTAKEN\tEXCEEDED\tUNREACHED\tBUCKET HERE")
+	for _, o := range organisations {
+		answered, bucket := "never", "-"
+		if o.AgeMS >= 0 {
+			answered = (time.Duration(o.AgeMS) * time.Millisecond).String() + " ago"
+		}
+		if h := o.Home; h != nil {
+			bucket = fmt.Sprintf("%.1f, %d held by hosts, %.1f requests a program", h.Level, h.Held, h.Mean)
+			if h.Reduced {
+				bucket += ", reduced rate"
+			}
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%g\t%g\t%d\t%s\t%d\t%d\t%d\t%s\n",
+			o.Organisation, strings.Join(o.Keys, " "), o.PerSecond, o.Burst, o.Held, answered, o.Taken, o.Exceeded, o.Unreached, bucket)
+	}
+}
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -29,6 +29,9 @@
 	// what happened to a report (CrashReport).
 	Crashes expvar.Map
 
+	// gauges reads further values, by name.
+	gauges map[string]func() expvar.Var
+
 	mu sync.Mutex
 	// times holds the durations of single requests in microseconds.
 	times map[Measure]*hdrhistogram.Histogram
@@ -192,6 +195,9 @@
 	host.Set("crashes", &s.Crashes)
 	host.Set("programs", s.Programs())
 	host.Set("times", s.Times())
+	for name, read := range s.gauges {
+		host.Set(name, read())
+	}
 	_, err := fmt.Fprintf(w, "{%s: %s", strconv.Quote("citronpier"), host.String())
 	expvar.Do(func(kv expvar.KeyValue) {
 		if err == nil {
--- a/descriptor/organisation.go
+++ b/descriptor/organisation.go
@@ -84,6 +84,15 @@
 	return digests
 }
 
+// KeyDigests returns the short digests of the keys of all organisations, by name.
+func (o Organisations) KeyDigests() map[string][]string {
+	digests := make(map[string][]string, len(o.byName))
+	for digest, holder := range o.byKey {
+		digests[holder] = append(digests[holder], digest.Short())
+	}
+	return digests
+}
+
 // OrganisationBuilder collects the organisations of a configuration. The zero value is empty.
 type OrganisationBuilder struct{ organisations Organisations }
 
--- a/entry.go
+++ b/entry.go
@@ -187,6 +187,7 @@
 		Organisations: func() descriptor.Organisations { return e.watcher.Configuration().Organisations },
 		Hosts:         e.homes, Open: e.allowanceHome, Uptime: uptime.Now, Background: e.background, Logger: e.config.Logger,
 	})
+	e.counters.Gauge("organisations", e.allowances.metrics)
 	e.forwarder = e.newForwarder()
 	return e
 }
--- a/entry_allowances.go
+++ b/entry_allowances.go
@@ -183,6 +183,9 @@
 	a.pool(organisation).Return(c, a.config.Uptime())
 }
 
+// Expired reports whether a credit can't be spent any more.
+func (a *allowances) Expired(c granter.Credit) bool { return a.config.Uptime() >= c.Expires }
+
 // pool returns the pool of an organisation. The caller must hold mu.
 func (a *allowances) pool(name string) *allowancePool {
 	p, ok := a.pools[name]
--- a/entry_status.go
+++ b/entry_status.go
@@ -34,6 +34,8 @@
 	Shards    []keeper.Status  `json:"shards"`
 	Hosts     []PeerStatus     `json:"hosts"`
 	Upstreams []UpstreamStatus `json:"upstreams"`
+	// Organisations are those of the configuration.
+	Organisations []OrganisationStatus `json:"organisations,omitempty"`
 }
 
 // PeerStatus is the state of another host, as far as this host knows it.
@@ -81,6 +83,7 @@
 		Shards:         e.keeper.Status(),
 		Hosts:          e.peerStatuses(),
 		Upstreams:      e.upstreamStatuses(now),
+		Organisations:  e.allowances.status(),
 	}
 }
 
--- a/forwarder/allowance.go
+++ b/forwarder/allowance.go
@@ -19,6 +19,8 @@
 	Take(ctx context.Context, r AllowanceRequest, now time.Time) AllowanceDecision
 	// Return gives back a credit whose request was not sent.
 	Return(organisation string, c granter.Credit)
+	// Expired reports whether a credit can't be spent any more.
+	Expired(c granter.Credit) bool
 }
 
 // AllowanceRequest is a request that needs a credit.
@@ -120,6 +122,16 @@
 	}
 }
 
+// allowanceExpired returns the outcome of a request whose credit has expired before it was sent,
+// because the host was paused, and nil otherwise.
+func (e *exchange) allowanceExpired() Outcome {
+	if !e.allowance.taken || e.mayHaveRun || !e.config.Allowances.Expired(e.allowance.credit) {
+		return nil
+	}
+	return refused(refuser.New(refuser.Home, "the credit of organisation %q expired before the request was sent", e.organisation.Name).
+		WithRetry(retryAfterHomeFailure))
+}
+
 // returnAllowance gives the credit of a request back that was not sent.
 func (e *exchange) returnAllowance() {
 	if e.allowance.taken && e.sends == 0 {
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/citronpier/citronpier/allocator"
+	"github.com/citronpier/citronpier/authenticator"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
@@ -117,6 +118,12 @@
 	forwarder *forwarder.Forwarder
 	home      *fakeHome
 	isolator  *isolator.Isolator
+	// allowances grants credits; nil if limits are not kept.
+	allowances forwarder.Allowances
+	// homes replaces home unless it is nil, and configurationAge returns the age of the
+	// configuration; nil if it is always the newest.
+	homes            forwarder.HomeClient
+	configurationAge func() time.Duration
 	// stopping makes the host stop at once.
 	stopping atomic.Bool
 	// dial opens connections to upstreams.
@@ -215,16 +222,22 @@
 // startWith creates the Forwarder with a configuration that may change.
 func (f *fixture) startWith(t testing.TB, configuration func() descriptor.Configuration) {
 	t.Helper()
+	homes := forwarder.HomeClient(f.home)
+	if f.homes != nil {
+		homes = f.homes
+	}
 	f.forwarder = forwarder.New(forwarder.Config{
+		ConfigurationAge: f.configurationAge, Authentication: authenticator.Policy{Revocation: 5 * time.Second},
 		Isolator: f.isolator, ReportCrash: func(isolator.Report) {},
 		RemoteDemand:  func(string, time.Time) forwarder.RemoteDemand { return forwarder.RemoteDemand{Telling: 1, Hosts: 1} },
+		Allowances:    f.allowances,
 		Shards:        4,
 		Configuration: configuration,
 		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
 		Drain:         drain,
 		LastDeadline:  func() (time.Time, bool) { return time.Now(), f.stopping.Load() },
 		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
-		Homes:         f.home,
+		Homes:         homes,
 		Memory:        f.memory,
 		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
--- a/forwarder/sendable.go
+++ b/forwarder/sendable.go
@@ -27,6 +27,9 @@
 	if o := e.revoked(); o != nil {
 		return o
 	}
+	if o := e.allowanceExpired(); o != nil {
+		return o
+	}
 	return e.outlastsStop()
 }
 
--- a/granter/home.go
+++ b/granter/home.go
@@ -79,7 +79,7 @@
 	programs programs
 }
 
-// Level returns the credits in the bucket, and Held those that hosts hold unspent.
+// Level returns the credits in the bucket.
 func (h *Home) Level() float64 { return h.level }
 
 // Held returns the credits that hosts hold unspent, as far as the home knows.
@@ -96,6 +96,9 @@
 // Mean returns the learned number of requests of a program.
 func (h *Home) Mean() float64 { return h.programs.mean() }
 
+// Home reports whether the host was home of the organisation when it was last asked.
+func (h *Home) Home() bool { return h.begun && !h.away }
+
 // Reduced reports whether the home grants less than the full rate.
 func (h *Home) Reduced() bool { return h.bucket.perSecond < h.terms.PerSecond }
 
