--- a/entry_allowances.go
+++ b/entry_allowances.go
@@ -150,14 +150,14 @@
 	defer a.mu.Unlock()
 	name, up := r.Organisation.Name, a.config.Uptime()
 	p := a.pool(name)
-	switch v := p.Take(r.Kind, up).(type) {
-	case granter.Granted:
+	if c, ok := p.Spend(r.Kind, up); ok {
 		p.taken++
 		if p.Wanted(up) > 0 {
 			a.refill(name, now)
 		}
-		return forwarder.AllowanceTaken{Credit: v.Credit}, nil
-	case granter.Refused:
+		return forwarder.AllowanceTaken{Credit: c}, nil
+	}
+	if v, ok := p.Take(r.Kind, up).(granter.Refused); ok {
 		p.exceeded++
 		return forwarder.AllowanceExceeded{Retry: v.Retry, Age: up - p.Told()}, nil
 	}
--- a/granter/pool.go
+++ b/granter/pool.go
@@ -94,8 +94,19 @@
 	return p.demand * math.Exp(-(now-p.arrived).Seconds()/demandTime.Seconds())
 }
 
-// Take spends a credit for a request.
+// Take spends a credit for a request, or says what to do without one.
 func (p *Pool) Take(kind Kind, now time.Duration) Verdict {
+	if c, ok := p.Spend(kind, now); ok {
+		return Granted{Credit: c}
+	}
+	if until := p.refused[kind]; now < until {
+		return Refused{Retry: until - now}
+	}
+	return Asked{}
+}
+
+// Spend spends a credit for a request, if the pool has one.
+func (p *Pool) Spend(kind Kind, now time.Duration) (Credit, bool) {
 	p.expire(now)
 	for i := range p.lots {
 		l := &p.lots[i]
@@ -113,12 +124,9 @@
 		if kind != Single {
 			p.requests++
 		}
-		return Granted{Credit: Credit{Expires: l.expires}}
+		return Credit{Expires: l.expires}, true
 	}
-	if until := p.refused[kind]; now < until {
-		return Refused{Retry: until - now}
-	}
-	return Asked{}
+	return Credit{}, false
 }
 
 // Return puts a credit back whose request was not sent.
