Admit programs by load and bound the retries of a host

Callers saw: under overload first turns were sent to full engines, and a request that one full engine refused was sent to all others, one after the other.

Cause: nothing asked whether a program could end in time, and the retries of a host had no bound.

Change: the forwarder asks package admitter once the program's home has let the turn run, as the home knows whether the program is under way. A refused turn gets 503, reason overload, with the figures of the decision in its detail. Requests are sent again after a full upstream or a lost response for a quarter of the requests of some seconds at most, and 5 a second are always allowed. The time left for a program is decoded from Citronpier-Program-Deadline-Ms. Active in fleets of more than 9 live hosts and where the settings have the contract "pressure"; other deployments do nothing more than check a flag.

--- a/admitter/simulation_test.go
+++ b/admitter/simulation_test.go
@@ -15,6 +15,8 @@
 	readTime = 2000 * time.Millisecond / 170
 	// reportAge is the age of load reports, and drainTime the time after the last program began.
 	reportAge = 150 * time.Millisecond
+	// loadAge is the age up to which a host uses a load again.
+	loadAge   = 200 * time.Millisecond
 	drainTime = 40 * time.Second
 	service   = "s"
 )
@@ -69,6 +71,9 @@
 	admitter           *admitter.Admitter
 	inFlight, reported [engines]int
 	unanswered         map[*turn]bool
+	// load was measured at loadAt.
+	load   admitter.Load
+	loadAt time.Duration
 }
 
 // turn is one turn at an engine.
@@ -103,6 +108,9 @@
 
 // load returns the load of the engines as a host knows it: it hears only its own data centre.
 func (s *simulation) load(h *host) admitter.Load {
+	if h.loadAt > 0 && s.now-h.loadAt < loadAge {
+		return h.load
+	}
 	var l admitter.Load
 	for e := range engines {
 		if !s.engines[e].gone {
@@ -116,6 +124,7 @@
 			l.Overdue++
 		}
 	}
+	h.load, h.loadAt = l, s.now
 	return l
 }
 
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -29,6 +29,10 @@
 	// what happened to a report (CrashReport).
 	Crashes expvar.Map
 
+	// Admissions counts the decisions on turns while programs are admitted by load. The keys
+	// are the reasons of package admitter.
+	Admissions expvar.Map
+
 	mu sync.Mutex
 	// times holds the durations of single requests in microseconds.
 	times map[Measure]*hdrhistogram.Histogram
@@ -50,6 +54,7 @@
 	RetryMemory        Retry = "memory"   // the response exceeded its share of the memory for responses
 	RetryOverdue       Retry = "overdue"  // the response did not begin within its time limit
 	RetryFallbackShard Retry = "aside"    // a turn was recorded in a fallback shard
+	RetryDenied        Retry = "denied"   // the request was not sent again: the host's retries were used up
 	RetryFailed        Retry = "failed"   // the upstream ran the request and replied with an error status
 )
 
@@ -63,6 +68,9 @@
 	CrashWithdrawn CrashReport = "withdrawn" // an upstream answered the request later
 )
 
+// Admission counts a decision on a turn.
+func (s *Set) Admission(reason string) { s.Admissions.Add(reason, 1) }
+
 // Crash counts a report of a crash.
 func (s *Set) Crash(r CrashReport) { s.Crashes.Add(string(r), 1) }
 
@@ -190,6 +198,7 @@
 	host.Set("stages", &s.Stages)
 	host.Set("dropped", &s.Dropped)
 	host.Set("crashes", &s.Crashes)
+	host.Set("admissions", &s.Admissions)
 	host.Set("programs", s.Programs())
 	host.Set("times", s.Times())
 	_, err := fmt.Fprintf(w, "{%s: %s", strconv.Quote("citronpier"), host.String())
--- a/descriptor/request.go
+++ b/descriptor/request.go
@@ -28,6 +28,9 @@
 	// Program is the ID of the program that the request belongs to. It is empty if
 	// there is none.
 	Program string
+	// ProgramDeadline is when the whole program should be finished. It is the zero time if the
+	// caller does not say.
+	ProgramDeadline time.Time
 	// Session is the ID of one sequence of turns within the program.
 	Session string
 	// Budget is the maximum number of tokens that the whole program may generate; 0
--- a/entry.go
+++ b/entry.go
@@ -89,7 +89,10 @@
 	// Revocation is the time after which a revoked key must not work any more, also on hosts
 	// that don't reach the store; 0 if there is no such bound.
 	Revocation time.Duration
-	Logger     zerolog.Logger
+	// Contended is true if callers are expected to compete for insufficient capacity, also
+	// where the fleet is small.
+	Contended bool
+	Logger    zerolog.Logger
 }
 
 // An Entry is an entry host that keeps the history and the budgets of programs
@@ -121,6 +124,7 @@
 	exchanger *exchanger.Exchanger
 	isolator  *isolator.Isolator
 	forwarder *forwarder.Forwarder
+	admission admission
 	peers     peerClients
 	members   memberCache
 	// background is the context of all background work. Run calls cancel when it
@@ -197,6 +201,8 @@
 		LastDeadline:     e.latestDeadline,
 		Isolator:         e.isolator,
 		ReportCrash:      e.reportCrash,
+		Admission:        &e.admission.admitter,
+		AdmissionActive:  e.admission.active.Load,
 		Memory:           c.Memory,
 		Homes:            e.navigator,
 		Exchanger:        e.exchanger,
@@ -349,6 +355,7 @@
 			e.tracker.Prune(list.Listed, now)
 		}
 		e.limitConnections(now)
+		e.updateAdmission(now)
 		if e.Ready() {
 			once.Do(func() {
 				e.config.Logger.Info().Dur("after_ms", now.Sub(e.started)).Int("upstreams", list.Len()).Msg("ready")
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -49,6 +49,8 @@
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 
+	// admission is what the admission of programs keeps of the request.
+	admission admission
 	// memory is what the request keeps of responses.
 	memory *allocator.Grant
 
@@ -220,8 +222,7 @@
 	switch {
 	case errors.As(err, &notRun):
 		event.Msg("upstream did not run the request")
-		e.config.Counters.Retried(counter.RetryRefused)
-		return nil
+		return e.retryAfterNotRun(notRun)
 	case errors.As(err, &unsent):
 		event.Msg("request not sent to upstream")
 		e.config.Counters.Retried(counter.RetryUnsent)
@@ -234,8 +235,7 @@
 	}
 	event.Str("fingerprint", string(e.fingerprint)).Int("runs", e.runs).Msg("response of upstream lost")
 	if e.repeatable(e.runs) {
-		e.config.Counters.Retried(retryReason(err))
-		return nil
+		return e.retry(retryReason(err), time.Now())
 	}
 	return refused(refuser.New(refuser.Lost, "the answer was lost: %w", err).WithRun(descriptor.RunUnknown))
 }
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/admitter"
 	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/counter"
@@ -123,6 +124,8 @@
 	dial connector.Dial
 	// memory is what responses take their memory from; nil is no limit.
 	memory *allocator.Pool
+	// admission decides which programs may begin; nil is none.
+	admission *admitter.Admitter
 
 	mu sync.Mutex
 	// list is the service-discovery list.
@@ -226,6 +229,7 @@
 		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
 		Homes:         f.home,
 		Memory:        f.memory,
+		Admission:     f.admission,
 		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
 		Counters:      &counter.Set{},
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/admitter"
 	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/authenticator"
 	"github.com/citronpier/citronpier/counter"
@@ -76,6 +77,10 @@
 	// hosts what this one has counted.
 	Isolator    *isolator.Isolator
 	ReportCrash func(r isolator.Report)
+	// Admission decides which programs may begin while the upstreams are overloaded; nil means
+	// all. AdmissionActive reports whether it decides now; nil means always.
+	Admission       *admitter.Admitter
+	AdmissionActive func() bool
 	// Memory is what requests take the memory for responses from; nil is no limit.
 	Memory    *allocator.Pool
 	Homes     HomeClient
@@ -96,6 +101,8 @@
 	chains *lru.Cache[string, []byte]
 	// losses has the lost requests whose upstreams may have ended.
 	losses *lossQueue
+	// upstreamLoads has the loads that the admission of programs uses.
+	upstreamLoads loadCache
 }
 
 const (
@@ -170,6 +177,7 @@
 		return refused(refuser.New(refuser.Capacity, "route %s names no service", route.Name).WithRetry(retryAfterStarting))
 	}
 	f.config.Tracker.recordArrival(e.service.Name, now)
+	e.admission = f.admission(now)
 	e.deadline = now.Add(route.Timeout)
 	if !e.request.Deadline.IsZero() && e.request.Deadline.Before(e.deadline) {
 		e.deadline = e.request.Deadline
--- a/forwarder/home_test.go
+++ b/forwarder/home_test.go
@@ -18,6 +18,8 @@
 	// verdict and chain are the reply of Begin.
 	verdict messenger.BeginReply_Verdict
 	chain   string
+	// programUpstream is the upstream that served the last turn of the program.
+	programUpstream string
 	// build is the build in the reply of Begin to a request that resumes a stream.
 	build *messenger.Build
 	// bound receives the requests of the calls of Bind.
@@ -45,7 +47,7 @@
 }
 
 func (h *fakeHome) Begin(_ context.Context, r *messenger.BeginRequest) (*messenger.BeginReply, error) {
-	reply := &messenger.BeginReply{Verdict: h.verdict, Chain: []byte(h.chain)}
+	reply := &messenger.BeginReply{Verdict: h.verdict, Chain: []byte(h.chain), ProgramUpstream: h.programUpstream}
 	if r.GetResumes() != "" {
 		reply.Build = h.build
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -23,6 +23,10 @@
 	if o := e.beginTurn(ctx, t); o != nil {
 		return o
 	}
+	if o := e.admit(time.Now()); o != nil {
+		e.settleInBackground(t)
+		return o
+	}
 	response, o := e.send(ctx, e.request.LastEvent)
 	if o != nil {
 		e.settleInBackground(t)
@@ -64,6 +68,7 @@
 		err := e.relayEvents(t, response, &ids)
 		e.closeResponse(ctx, response, err)
 		if err == nil {
+			e.observeEnd(time.Now())
 			return e.finishStream(ctx, t)
 		}
 		if ids.last != before {
@@ -128,6 +133,7 @@
 			events, tooLong := s.push(buffer[:n])
 			if now := time.Now(); len(events) > 0 {
 				e.config.Tracker.recordEventInterval(e.inFlight, now.Sub(previous)/time.Duration(len(events)), now)
+				e.observeEvents(len(events), now)
 				previous = now
 			}
 			if err := e.writeEvents(t, events, ids); err != nil {
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -44,6 +44,7 @@
 	Unclaimed  Reason = "unclaimable" // the program has ended, or its records can't be used
 	Turn       Reason = "turn"        // the turn that the request continues is not stored
 	Capacity   Reason = "capacity"    // no upstream can take the request now
+	Overload   Reason = "overload"    // the upstreams can't serve another program now
 	Resume     Reason = "resume"      // the stream to resume was begun by an unknown version, or by one that no upstream runs
 	Quarantine Reason = "quarantine"  // upstreams ended while they ran earlier attempts of the request; not run for a time
 	Stale      Reason = "stale"       // the host can't show that its configuration is recent enough to accept a key
@@ -97,6 +98,7 @@
 	Unclaimed:  http.StatusGone,
 	Turn:       http.StatusNotFound,
 	Capacity:   http.StatusServiceUnavailable,
+	Overload:   http.StatusServiceUnavailable,
 	Resume:     http.StatusServiceUnavailable,
 	Quarantine: http.StatusServiceUnavailable,
 	Limited:    http.StatusServiceUnavailable,
