--- a/admitter/retry.go
+++ b/admitter/retry.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	// retryShare is the number of retries a second that is allowed for each request a second,
-	// and minRetries the number that is always allowed: an upstream that ends fails all that
-	// it runs, also on a host with few requests.
-	retryShare = 0.25
+	// retryShare is the number of retries a second that is allowed for each request a second:
+	// a program fails if a tool call does, and upstreams refuse at little cost. minRetries is
+	// the number that is always allowed: an upstream that ends fails all that it runs, also on
+	// a host with few requests.
+	retryShare = 0.5
 	minRetries = 5
 	// newProgramShare is the part of the budget that first turns may use.
 	newProgramShare = 0.5
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -84,7 +84,7 @@
 	s.occupancy = l.occupancy()
 	in := s.measure(l, at)
 	before := s.overloaded
-	above := in.Delay > in.Bearable || in.Stretch > onsetStretch && in.Occupancy > busyOccupancy
+	above := in.Delay > in.Bearable && in.Occupancy > usedOccupancy || in.Stretch > onsetStretch && in.Occupancy > busyOccupancy
 	switch {
 	case above && s.aboveSince == 0:
 		s.aboveSince, s.belowSince = at, 0
@@ -157,4 +157,7 @@
 	// busyOccupancy is the occupancy from which on stretched turns count as overload. Upstreams
 	// with fewer requests are slow for another reason, which refusals don't change.
 	busyOccupancy = 0.4
+	// usedOccupancy is the occupancy from which on delayed turns count as overload. At lower
+	// ones the delay is that of this host, which was paused or lacks processor time.
+	usedOccupancy = 0.2
 )
