--- a/entry.go
+++ b/entry.go
@@ -92,7 +92,10 @@
 	Revocation time.Duration
 	// Allowances is how exactly the hosts keep the allowances of organisations.
 	Allowances AllowanceBounds
-	Logger     zerolog.Logger
+	// Contended is true if callers are expected to compete for insufficient capacity, also
+	// where the fleet is small.
+	Contended bool
+	Logger    zerolog.Logger
 }
 
 // An Entry is an entry host that keeps the history and the budgets of programs
@@ -124,6 +127,7 @@
 	exchanger *exchanger.Exchanger
 	isolator  *isolator.Isolator
 	forwarder *forwarder.Forwarder
+	admission admission
 	peers     peerClients
 	members   memberCache
 	// allowances has the credits of organisations.
@@ -209,6 +213,8 @@
 		LastDeadline:     e.latestDeadline,
 		Isolator:         e.isolator,
 		ReportCrash:      e.reportCrash,
+		Admission:        &e.admission.admitter,
+		AdmissionActive:  e.admission.active.Load,
 		Memory:           c.Memory,
 		Homes:            e.navigator,
 		Exchanger:        e.exchanger,
@@ -361,6 +367,7 @@
 			e.tracker.Prune(list.Listed, now)
 		}
 		e.limitConnections(now)
+		e.updateAdmission(now)
 		if e.Ready() {
 			once.Do(func() {
 				e.config.Logger.Info().Dur("after_ms", now.Sub(e.started)).Int("upstreams", list.Len()).Msg("ready")
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/citronpier/citronpier/admitter"
 	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/authenticator"
 	"github.com/citronpier/citronpier/connector"
@@ -130,6 +131,10 @@
 	dial connector.Dial
 	// memory is what responses take their memory from; nil is no limit.
 	memory *allocator.Pool
+	// admission decides which programs may begin; nil is none.
+	admission *admitter.Admitter
+	// loads are the loads that other hosts report.
+	loads map[uint64]forwarder.UpstreamLoad
 
 	mu sync.Mutex
 	// list is the service-discovery list.
@@ -236,9 +241,10 @@
 		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
 		Drain:         drain,
 		LastDeadline:  func() (time.Time, bool) { return time.Now(), f.stopping.Load() },
-		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
 		Homes:         homes,
+		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return f.loads },
 		Memory:        f.memory,
+		Admission:     f.admission,
 		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
 		Counters:      &counter.Set{},
