--- a/forwarder/allowance.go
+++ b/forwarder/allowance.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/granter"
+	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/refuser"
 )
 
@@ -91,15 +92,34 @@
 	age   time.Duration
 }
 
-// takeAllowance spends a credit of the organisation. It returns the outcome of a request that
-// gets none, and nil otherwise.
+// takeAllowance spends a credit of the organisation. A request of a running program waits for
+// credit that is expected soon: refused calls end programs that are nearly done. takeAllowance
+// returns the outcome of a request that gets none, and nil otherwise.
 func (e *exchange) takeAllowance(ctx context.Context, now time.Time) Outcome {
 	if e.organisation.PerSecond <= 0 || e.config.Allowances == nil {
 		return nil
 	}
 	program := knownProgram{organisation: e.organisation.Name, program: e.request.Program}
 	r := AllowanceRequest{Organisation: e.organisation, Kind: e.allowanceKind(program)}
-	switch d := e.config.Allowances.Take(ctx, r, now).(type) {
+	latest := now.Add(e.maxDelay(now))
+	decision := e.config.Allowances.Take(ctx, r, now)
+	for {
+		exceeded, ok := decision.(AllowanceExceeded)
+		if !ok || r.Kind != granter.Continuing || now.Add(exceeded.Retry).After(latest) {
+			return e.allowanceOutcome(ctx, decision, program)
+		}
+		waiter.Sleep(ctx, exceeded.Retry)
+		now = time.Now()
+		if o := e.unsendable(ctx, now); o != nil {
+			return o
+		}
+		decision = e.config.Allowances.Take(ctx, r, now)
+	}
+}
+
+// allowanceOutcome keeps the credit of a request, or returns the outcome of one that gets none.
+func (e *exchange) allowanceOutcome(ctx context.Context, decision AllowanceDecision, program knownProgram) Outcome {
+	switch d := decision.(type) {
 	case AllowanceTaken:
 		e.allowance = spentAllowance{taken: true, credit: d.Credit}
 		if program.program != "" {
--- a/granter/home.go
+++ b/granter/home.go
@@ -205,14 +205,24 @@
 	return reserveFraction * h.bucket.capacity
 }
 
+// overdraft returns how far requests of running programs may overdraw the bucket now. A home
+// allows it once a window has passed in which no other home can have allowed it.
+func (h *Home) overdraft() float64 {
+	if h.away || h.Reduced() || h.at-h.since < h.terms.Window {
+		return 0
+	}
+	return h.terms.overdraft()
+}
+
 // grantContinuing grants credits for requests of running programs.
 func (h *Home) grantContinuing(waiting int, g *Grant) {
-	n := min(waiting, max(0, int(math.Floor(h.level))))
+	overdraft := h.overdraft()
+	n := min(waiting, max(0, int(math.Floor(h.level+overdraft))))
 	h.level -= float64(n)
 	g.Credits = n
 	if n < waiting {
 		h.programs.overdraw(waiting - n)
-		g.Retry[Continuing] = h.retry(h.bucket.until(h.level, 1))
+		g.Retry[Continuing] = h.retry(h.bucket.until(h.level, 1-overdraft))
 	}
 }
 
--- a/granter/terms.go
+++ b/granter/terms.go
@@ -10,6 +10,10 @@
 	// leastFraction of the slack is the least capacity of a bucket. Of requests that arrive at
 	// random below the rate, a bucket with a smaller burst would refuse many.
 	leastFraction = 0.125
+	// overdraftFraction of the slack is what requests of running programs may take beyond an
+	// empty bucket, which its rate then repays. A program that sends more than the rate for a
+	// second or two ends in time that way.
+	overdraftFraction = 0.35
 	// reducedFraction of the slack is what all homes without a majority grant together in
 	// a window, and reducedRate the part of the rate that they grant at most.
 	reducedFraction = 0.35
@@ -55,6 +59,9 @@
 	return bucket{perSecond: t.PerSecond, capacity: max(1, t.Burst, leastFraction*t.slack())}
 }
 
+// overdraft returns how far requests of running programs may overdraw the bucket.
+func (t Terms) overdraft() float64 { return overdraftFraction * t.slack() }
+
 // reduced returns the bucket of a home that a share of the hosts follows, while the others may
 // follow another one.
 func (t Terms) reduced(share float64) bucket {
