Bound the time between spending a credit and sending the request

A credit that had nearly expired when it was spent could have refused its request after a short wait.

--- a/entry_allowances.go
+++ b/entry_allowances.go
@@ -183,8 +183,8 @@
 	a.pool(organisation).Return(c, a.config.Uptime())
 }
 
-// Expired reports whether a credit can't be spent any more.
-func (a *allowances) Expired(c granter.Credit) bool { return a.config.Uptime() >= c.Expires }
+// Expired reports whether a request that has spent a credit must not be sent any more.
+func (a *allowances) Expired(c granter.Credit) bool { return a.config.Uptime() >= c.SendBy }
 
 // pool returns the pool of an organisation. The caller must hold mu.
 func (a *allowances) pool(name string) *allowancePool {
--- a/entry_allowances_test.go
+++ b/entry_allowances_test.go
@@ -29,6 +29,8 @@
 	// others know to be down.
 	hosts      map[string]*allowances
 	down, gone map[string]bool
+	// delay is the time that a call takes.
+	delay time.Duration
 }
 
 // client calls a host unless it is down.
@@ -45,9 +47,29 @@
 		<-ctx.Done()
 		return nil, errUnreachable
 	}
+	time.Sleep(c.hosts.delay)
 	return to.answer(r), nil
 }
 
+// change changes which hosts are down.
+func (h *allowanceHosts) change(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+// homeElsewhere returns an organisation whose home is not the given host.
+func (h *allowanceHosts) homeElsewhere(t *testing.T, host string) string {
+	t.Helper()
+	for name := range h.hosts[host].config.Organisations().All() {
+		if home, _ := h.view(time.Now()).Home(organisationKey(name), time.Now()); home.ID != host {
+			return name
+		}
+	}
+	t.Fatalf("all organisations have their home at %s", host)
+	return ""
+}
+
 // view returns the hosts that are not known to be gone.
 func (h *allowanceHosts) view(time.Time) locator.View {
 	h.mu.Lock()
@@ -109,7 +131,7 @@
 	t.Parallel()
 	h := startAllowances(t, 3, 1)
 	home, _ := h.view(time.Now()).Home(organisationKey("o0"), time.Now())
-	h.down[home.ID] = true
+	h.change(func() { h.down[home.ID] = true })
 	for id := range h.hosts {
 		if id == home.ID {
 			continue
@@ -129,38 +151,34 @@
 func TestNoHomeReached(t *testing.T) {
 	t.Parallel()
 	h := startAllowances(t, 2, 20)
-	h.down["h1"], h.down["h0"] = true, false
-	view := h.view(time.Now())
-	for i := range 20 {
-		name := fmt.Sprint("o", i)
-		if home, _ := view.Home(organisationKey(name), time.Now()); home.ID != "h1" {
-			continue
-		}
-		h.gone["h0"] = true // the host itself is stopping
-		began := time.Now()
-		d := h.take(t.Context(), "h0", name)
-		if _, ok := d.(forwarder.AllowanceUnknown); !ok {
-			t.Errorf("%#v", d)
-		}
-		if took := time.Since(began); took > 4*allowanceWait {
-			t.Errorf("request waited %s", took)
-		}
-		return
+	name := h.homeElsewhere(t, "h0")
+	h.change(func() { h.down["h1"], h.gone["h0"] = true, true }) // h0 is stopping
+	began := time.Now()
+	d := h.take(t.Context(), "h0", name)
+	if _, ok := d.(forwarder.AllowanceUnknown); !ok {
+		t.Errorf("%#v", d)
+	}
+	if took := time.Since(began); took > 4*allowanceWait {
+		t.Errorf("request waited %s", took)
 	}
-	t.Fatal("no organisation has its home at h1")
 }
 
 // TestWaitingRequestsShareACall guards against a call for each request.
 func TestWaitingRequestsShareACall(t *testing.T) {
 	t.Parallel()
-	h := startAllowances(t, 3, 1)
+	h := startAllowances(t, 3, 20)
+	h.delay = 20 * time.Millisecond
+	name := h.homeElsewhere(t, "h0")
 	const requests = 30
 	var wait sync.WaitGroup
 	for range requests {
-		wait.Go(func() { h.take(t.Context(), "h0", "o0") })
+		wait.Go(func() { h.take(t.Context(), "h0", name) })
 	}
 	wait.Wait()
-	if calls := h.hosts["h0"].number; calls > requests/2 {
+	a := h.hosts["h0"]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if calls := a.number; calls > requests/2 {
 		t.Errorf("%d calls for %d requests", calls, requests)
 	}
 }
--- a/forwarder/allowance.go
+++ b/forwarder/allowance.go
@@ -19,7 +19,7 @@
 	Take(ctx context.Context, r AllowanceRequest, now time.Time) AllowanceDecision
 	// Return gives back a credit whose request was not sent.
 	Return(organisation string, c granter.Credit)
-	// Expired reports whether a credit can't be spent any more.
+	// Expired reports whether a request that has spent a credit must not be sent any more.
 	Expired(c granter.Credit) bool
 }
 
--- a/granter/home.go
+++ b/granter/home.go
@@ -82,13 +82,16 @@
 // Level returns the credits in the bucket.
 func (h *Home) Level() float64 { return h.level }
 
-// Held returns the credits that hosts hold unspent, as far as the home knows.
+// Held returns the credits that hosts hold unspent, as far as the home knows. It forgets hosts whose
+// credits have expired.
 func (h *Home) Held(now time.Duration) int {
 	held := 0
-	for _, o := range h.holds {
-		if now-o.claimed < Validity+expiryMargin {
-			held += o.credits
+	for host, o := range h.holds {
+		if now-o.claimed >= Validity+expiryMargin {
+			delete(h.holds, host)
+			continue
 		}
+		held += o.credits
 	}
 	return held
 }
--- a/granter/pool.go
+++ b/granter/pool.go
@@ -45,8 +45,9 @@
 func (Refused) verdict() {}
 func (Asked) verdict()   {}
 
-// Credit is the right to send one request until it expires.
-type Credit struct{ Expires time.Duration }
+// Credit is the right to send one request. It may be put back until it expires. A request that has
+// spent it must be sent before SendBy: after a pause, many would be sent at once.
+type Credit struct{ Expires, SendBy time.Duration }
 
 // lot is credits that expire together.
 type lot struct {
@@ -124,7 +125,7 @@
 		if kind != Single {
 			p.requests++
 		}
-		return Credit{Expires: l.expires}, true
+		return Credit{Expires: l.expires, SendBy: now + Validity}, true
 	}
 	return Credit{}, false
 }
