--- a/enforcer/enforcer.go
+++ b/enforcer/enforcer.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -15,16 +14,22 @@
 	// Idle is how long a connection may wait for its next request; 0 means that
 	// only the server's IdleTimeout applies.
 	Idle time.Duration
+	// HeaderBytes is the size limit of a request header, which the handler checks. The server
+	// reads little more than that; 0 means no limit.
+	HeaderBytes int64
 }
 
-// phase is the state of a connection, which decides the limit that applies.
+// phase is the state of a connection, which decides the limit that applies. Connections in a
+// phase with a lower number are closed first when there are too many.
 type phase int
 
 const (
-	// awaitingHeader: the server reads a request header; Limits.Header applies.
-	awaitingHeader phase = iota
 	// idle: the connection waits for its next request; Limits.Idle applies.
-	idle
+	idle phase = iota
+	// idleUntilHeader: as idle, and Limits.Idle was applied. The next deadline is for a header.
+	idleUntilHeader
+	// awaitingHeader: the server reads a request header; Limits.Header applies.
+	awaitingHeader
 	// inRequest: the server handles a request; no limit applies.
 	inRequest
 )
@@ -38,15 +43,20 @@
 	// Limits returns the limits in force. It is called each time that a read
 	// deadline is set, and so must be safe for concurrent use.
 	Limits func() Limits
+	// Connections bounds the number of connections; nil sets no bound.
+	Connections *Connections
 }
 
-// Accept waits for the next connection and returns it with the limits applied.
+// Accept waits for the next connection and returns it with the limits applied, once there is
+// room for it.
 func (l Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, limits: l.Limits}, nil
+	accepted := &conn{Conn: c, limits: l.Limits, connections: l.Connections, phase: awaitingHeader, since: time.Now()}
+	l.Connections.admit(accepted)
+	return accepted, nil
 }
 
 // ConnState records the new state of a connection. It is the hook to set as
@@ -58,56 +68,8 @@
 	}
 	switch s {
 	case http.StateIdle:
-		wrapped.setPhase(idle)
+		wrapped.setPhase(idle, time.Now())
 	case http.StateActive:
-		wrapped.setPhase(inRequest)
-	}
-}
-
-// conn is a connection that applies the limits in force: it shortens the read
-// deadlines that net/http sets.
-type conn struct {
-	net.Conn
-	limits func() Limits
-
-	mu sync.Mutex
-	// phase is the state at the next call of SetReadDeadline.
-	phase phase
-}
-
-func (c *conn) setPhase(p phase) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.phase = p
-}
-
-// SetReadDeadline sets the read deadline to t, or to an earlier time if the limit
-// that applies in the connection's phase ends before t.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	return c.Conn.SetReadDeadline(c.applyLimit(t, time.Now()))
-}
-
-// applyLimit returns the deadline t, shortened to the limit that applies. After
-// net/http has set the deadline of an idle connection, the next deadline that it sets
-// is for a request header.
-func (c *conn) applyLimit(t, now time.Time) time.Time {
-	if !t.After(now) {
-		// The server removes the deadline (zero time) or interrupts a pending
-		// read (time in the past).
-		return t
-	}
-	var limit time.Duration
-	c.mu.Lock()
-	switch c.phase {
-	case idle:
-		limit = c.limits().Idle
-		c.phase = awaitingHeader
-	case awaitingHeader:
-		limit = c.limits().Header
-	}
-	c.mu.Unlock()
-	if limited := now.Add(limit); limit > 0 && limited.Before(t) {
-		return limited
+		wrapped.setPhase(inRequest, time.Now())
 	}
-	return t
 }
--- a/entry.go
+++ b/entry.go
@@ -41,7 +41,7 @@
 }
 
 // EntryConfig holds the parameters of an Entry. All fields are required except
-// Seeds, Retention, Dial, Memory, Grace and Drain.
+// Seeds, Retention, Dial, Memory, ChainBytes, Connections, Grace and Drain.
 type EntryConfig struct {
 	// Host describes this host. Its ID is its peer address.
 	Host descriptor.Host
@@ -81,6 +81,10 @@
 	// Memory is what the responses of upstreams and of other hosts take their memory from.
 	// nil means that it is not bounded.
 	Memory *allocator.Pool
+	// ChainBytes bounds the chains that are cached for turns, in bytes; 0 means 32 MB.
+	ChainBytes int64
+	// Connections bounds the connections of callers; nil means that they are not bounded.
+	Connections *enforcer.Connections
 	// Grace is the grace period: how long a planned stop may take; 0 means 8 s.
 	Grace time.Duration
 	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
@@ -198,6 +202,7 @@
 		Isolator:         e.isolator,
 		ReportCrash:      e.reportCrash,
 		Memory:           c.Memory,
+		ChainBytes:       c.ChainBytes,
 		Homes:            e.navigator,
 		Exchanger:        e.exchanger,
 		Tracker:          &e.tracker,
@@ -249,7 +254,7 @@
 			ErrorLog:          newErrorLog(e.config.Logger),
 		}
 		if endpoint.Callers {
-			endpoint.Listener = enforcer.Listener{Listener: endpoint.Listener, Limits: e.connectionLimits}
+			endpoint.Listener = enforcer.Listener{Listener: endpoint.Listener, Limits: e.connectionLimits, Connections: e.config.Connections}
 			s.ConnState = enforcer.ConnState
 			callers = append(callers, s)
 		} else {
@@ -316,7 +321,7 @@
 // connectionLimits returns the configured time limits of callers' connections.
 func (e *Entry) connectionLimits() enforcer.Limits {
 	limits := e.watcher.Configuration().Limits
-	return enforcer.Limits{Header: limits.HeaderTime, Idle: limits.Idle}
+	return enforcer.Limits{Header: limits.HeaderTime, Idle: limits.Idle, HeaderBytes: limits.Header}
 }
 
 // Ready reports whether the host accepts requests: it has read the upstreams
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/citronpier/citronpier/allocator"
@@ -77,12 +76,14 @@
 	Isolator    *isolator.Isolator
 	ReportCrash func(r isolator.Report)
 	// Memory is what requests take the memory for responses from; nil is no limit.
-	Memory    *allocator.Pool
-	Homes     HomeClient
-	Exchanger *exchanger.Exchanger
-	Tracker   *UpstreamTracker
-	Counters  *counter.Set
-	Logger    zerolog.Logger
+	Memory *allocator.Pool
+	// ChainBytes bounds the chains that are cached, in bytes; 0 means 32 MB.
+	ChainBytes int64
+	Homes      HomeClient
+	Exchanger  *exchanger.Exchanger
+	Tracker    *UpstreamTracker
+	Counters   *counter.Set
+	Logger     zerolog.Logger
 	// Background is the context of work that continues after a request has ended. It
 	// ends when the host stops.
 	Background context.Context
@@ -93,36 +94,14 @@
 	config Config
 	// chains caches the chain of each turn that this host has recorded or continued,
 	// by turn id. A chain is the text of a turn and of all turns before it.
-	chains *lru.Cache[string, []byte]
+	chains *chainCache
 	// losses has the lost requests whose upstreams may have ended.
 	losses *lossQueue
 }
 
-const (
-	// maxCachedChains limits the number of chains that are cached on this host. A
-	// chain is the text of a turn and of all turns before it. The homes keep
-	// their own copies.
-	maxCachedChains = 256
-	// maxCachedChainBytes limits the size of one cached chain, so that all cached
-	// chains take 32 MB at most.
-	maxCachedChainBytes = 128 << 10
-)
-
-// cacheChain caches the chain of a turn, which is the text of the turn and of all
-// turns before it, unless the chain is larger than maxCachedChainBytes.
-func (f *Forwarder) cacheChain(turn string, chain []byte) {
-	if len(chain) <= maxCachedChainBytes {
-		f.chains.Add(turn, chain)
-	}
-}
-
 // New returns a Forwarder for the given settings and dependencies.
 func New(c Config) *Forwarder {
-	chains, err := lru.New[string, []byte](maxCachedChains)
-	if err != nil {
-		panic(err) // the size is a positive constant
-	}
-	return &Forwarder{config: c, chains: chains, losses: &lossQueue{}}
+	return &Forwarder{config: c, chains: newChainCache(c.ChainBytes), losses: &lossQueue{}}
 }
 
 // retryAfterStarting is the delay after which a caller should retry while the host is
