Divide a host's memory and let stalled bodies give way

Bodies of callers had no common bound: 60 bodies of 4 MB took 394 MB on a host of 120 MB. The memory of the settings is divided into parts (allocator.Budget), and bodies take theirs from allocator.Bodies. When that is used up, bodies that stall give way, then those of addresses above their share, then those with the most left to send. A body that has arrived whole does not, and 16 KiB of each are always there. A declared length above the limit is refused before a byte is read. Buffers grow by doubling and are reused while they grow.

--- a/cmd/citronpierd/platform.go
+++ b/cmd/citronpierd/platform.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/urfave/cli/v3"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/internal/hangup"
 	"github.com/citronpier/citronpier/platform"
 )
@@ -21,9 +22,6 @@
 	logBufferLines = 8192
 	// logFlushInterval is the time between two checks for log lines to write.
 	logFlushInterval = 20 * time.Millisecond
-	// memoryLimitPercent is the share of the process's memory limit that is set as
-	// the soft memory limit of the Go runtime, in percent.
-	memoryLimitPercent = 70
 	// settingsCheckInterval is the time between two checks whether the settings
 	// file has changed.
 	settingsCheckInterval = 5 * time.Second
@@ -86,7 +84,7 @@
 		return &invalidSettingError{Detail: err.Error()}
 	}
 	if s.Memory > 0 {
-		debug.SetMemoryLimit(s.Memory * memoryLimitPercent / 100)
+		debug.SetMemoryLimit(allocator.Budget{Memory: s.Memory}.RuntimeLimit())
 	}
 	go followSettings(ctx, path, hangup.Signals(), logger)
 	return platform.Serve(ctx, s, logger)
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -49,6 +49,7 @@
 	Stale      Reason = "stale"       // the host can't show that its configuration is recent enough to accept a key
 	Limited    Reason = "limited"     // the upstreams take no more requests now than the limits that they name
 	Late       Reason = "late"        // the deadline passed before any upstream could have run the request
+	Memory     Reason = "memory"      // the body gave way to others because the memory for bodies was used up
 	Timeout    Reason = "timeout"     // the deadline passed after an upstream may have begun to run the request
 )
 
@@ -101,6 +102,7 @@
 	Quarantine: http.StatusServiceUnavailable,
 	Limited:    http.StatusServiceUnavailable,
 	Stale:      http.StatusServiceUnavailable,
+	Memory:     http.StatusServiceUnavailable,
 	Late:       http.StatusServiceUnavailable,
 	Timeout:    http.StatusGatewayTimeout,
 }
