Hold little for slow readers, and cut them off visibly

A caller that read nothing blocked the write of its response without end, and with it the upstream, whose stream was not read. A write on a caller's connection now takes what the operating system takes at once; the rest waits in a backlog of 256 KiB at most, and of a part of the host's memory over all connections. A stream whose backlog is full ends within 0.5 s, a plain response within 10 s; when the memory is used up, readers without progress for 1 s are cut off, the slowest first. The connection is reset, so that no response looks complete.

A body that arrived fast and then stopped did not count as stalled, because its rate was taken since the beginning of the window: the rate of the last window and the time since the last byte count instead.

--- a/allocator/bodies.go
+++ b/allocator/bodies.go
@@ -43,9 +43,11 @@
 	declared, limit int64
 	// held is the memory of the body, and received what has arrived of it.
 	held, received int64
-	// mark is what had arrived at markAt, when the window of the present rate began.
-	mark   int64
-	markAt time.Time
+	// mark is what had arrived at markAt, when the present window began. slow is true if the
+	// rate of the last window was below the minimum. lastAt is when bytes last arrived.
+	mark           int64
+	markAt, lastAt time.Time
+	slow           bool
 	// shed interrupts the reading of the body.
 	shed func()
 	// state says whether the body may still give way.
@@ -79,7 +81,7 @@
 // the body. It is called once at most, not after Complete or Release have returned, and must
 // not call the Bodies.
 func (b *Bodies) Open(address string, declared, limit int64, shed func(), now time.Time) *Body {
-	body := &Body{bodies: b, address: address, declared: declared, limit: limit, shed: shed, markAt: now}
+	body := &Body{bodies: b, address: address, declared: declared, limit: limit, shed: shed, markAt: now, lastAt: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.open == nil {
@@ -115,7 +117,9 @@
 	b.bodies.mu.Lock()
 	defer b.bodies.mu.Unlock()
 	b.received += int64(n)
-	if now.Sub(b.markAt) >= stallWindow {
+	b.lastAt = now
+	if elapsed := now.Sub(b.markAt); elapsed >= stallWindow {
+		b.slow = float64(b.received-b.mark) < minBodyRate*elapsed.Seconds()
 		b.mark, b.markAt = b.received, now
 	}
 }
--- a/allocator/budget.go
+++ b/allocator/budget.go
@@ -26,6 +26,7 @@
 const (
 	bodiesPercent      = 25
 	responsesPercent   = 20
+	readersPercent     = 10
 	chainsPercent      = 10
 	connectionsPercent = 10
 )
@@ -33,10 +34,12 @@
 // Bodies returns the bytes for the bodies that callers send.
 func (b Budget) Bodies() int64 { return b.percent(bodiesPercent) }
 
-// Responses returns the bytes for responses of upstreams, the store and other hosts, also while
-// their readers are slow.
+// Responses returns the bytes for responses of upstreams, the store and other hosts.
 func (b Budget) Responses() int64 { return b.percent(responsesPercent) }
 
+// Readers returns the bytes for what slow readers have not taken yet.
+func (b Budget) Readers() int64 { return b.percent(readersPercent) }
+
 // Chains returns the bytes for the cached chains of turns.
 func (b Budget) Chains() int64 { return b.percent(chainsPercent) }
 
--- a/allocator/victim.go
+++ b/allocator/victim.go
@@ -16,14 +16,14 @@
 	return true
 }
 
-// ShedStalled lets the body give way that has been below the minimum rate for the longest time,
-// and reports whether there was one.
+// ShedStalled lets a body give way that arrives below the minimum rate, and reports whether there
+// was one. It is the one of which nothing has arrived for the longest time.
 func (b *Bodies) ShedStalled(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var victim *Body
 	for body := range b.open {
-		if body.stalled(now) && (victim == nil || body.markAt.Before(victim.markAt)) {
+		if body.stalled(now) && (victim == nil || body.lastAt.Before(victim.lastAt)) {
 			victim = body
 		}
 	}
@@ -88,11 +88,7 @@
 
 // stalled reports whether a body arrives below the minimum rate.
 func (b *Body) stalled(now time.Time) bool {
-	elapsed := now.Sub(b.markAt)
-	if b.state != arriving || elapsed < stallWindow {
-		return false
-	}
-	return float64(b.received-b.mark) < minBodyRate*elapsed.Seconds()
+	return b.state == arriving && (b.slow || now.Sub(b.lastAt) >= stallWindow)
 }
 
 // remaining returns how many bytes of the body are still to arrive. A body of undeclared length
--- a/enforcer/conn.go
+++ b/enforcer/conn.go
@@ -1,10 +1,8 @@
 package enforcer
 
 import (
-	"errors"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"time"
 )
@@ -14,17 +12,16 @@
 	// over the limit still gets its response.
 	headerFactor = 2
 	headerSlack  = 8 << 10
-	// writeWindow is the time in which a reader has to take minWriteBytes, or what is left.
-	writeWindow   = 5 * time.Second
-	minWriteBytes = 16 << 10
 )
 
 // conn is a connection that applies the limits in force: it shortens the read deadlines that
-// net/http sets, bounds the bytes of a header, and bounds the time of a write.
+// net/http sets, bounds the bytes of a header, and holds little for a slow reader.
 type conn struct {
 	net.Conn
 	limits      func() Limits
 	connections *Connections
+	// writer is nil if writes wait for their reader.
+	writer *writer
 
 	mu sync.Mutex
 	// phase is the state at the next call of SetReadDeadline, and since is when it began.
@@ -42,18 +39,13 @@
 	return fmt.Sprintf("the header is larger than %d bytes", e.Limit)
 }
 
-// SlowReaderError reports that the other side takes a response too slowly.
-type SlowReaderError struct{}
-
-// Error implements the error interface.
-func (*SlowReaderError) Error() string {
-	return fmt.Sprintf("the caller takes less than %d bytes in %s", minWriteBytes, writeWindow)
-}
-
 func (c *conn) setPhase(p phase, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.since, c.headerBytes = p, now, 0
+	if c.writer != nil && p == inRequest {
+		c.writer.setDeadline(time.Time{})
+	}
 }
 
 // state returns the phase and when it began.
@@ -90,40 +82,50 @@
 	return nil
 }
 
-// Write writes to the connection while the other side takes enough of it. Otherwise the error
-// is a *SlowReaderError.
+// Write writes to the connection. It waits for a slow reader only while much was written that
+// the reader has not taken; the error is a *SlowReaderError then.
 func (c *conn) Write(p []byte) (int, error) {
-	written := 0
-	for {
-		if err := c.SetWriteDeadline(time.Now().Add(writeWindow)); err != nil {
-			return written, err
-		}
-		n, err := c.Conn.Write(p[written:])
-		written += n
-		switch {
-		case err == nil:
-			return written, nil
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return written, err
-		case n < minWriteBytes:
-			return written, &SlowReaderError{}
-		}
+	if c.writer == nil {
+		return c.Conn.Write(p)
 	}
+	return c.writer.write(p)
+}
+
+// SetWriteDeadline bounds how long later writes wait for a slow reader.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if c.writer == nil {
+		return c.Conn.SetWriteDeadline(t)
+	}
+	c.writer.setDeadline(t)
+	return nil
 }
 
 // CloseWrite ends the connection in the direction of the caller, so that a caller that still
 // sends can read its response.
 func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || c.writer != nil && c.writer.waits() {
+		return nil
 	}
-	return nil
+	return half.CloseWrite()
 }
 
-// Close closes the connection.
+// Close closes the connection, once its reader has taken what was written.
 func (c *conn) Close() error {
-	c.connections.remove(c)
-	return c.Conn.Close()
+	if c.writer == nil {
+		c.connections.remove(c)
+		return c.Conn.Close()
+	}
+	return c.writer.close()
+}
+
+// discard closes the connection at once.
+func (c *conn) discard() {
+	if c.writer != nil && c.writer.waits() {
+		c.writer.cut()
+		return
+	}
+	_ = c.Close()
 }
 
 // SetReadDeadline sets the read deadline to t, or to an earlier time if the limit
--- a/enforcer/connections.go
+++ b/enforcer/connections.go
@@ -56,7 +56,7 @@
 	}
 	for !c.add(added) {
 		if surplus := c.surplus(); surplus != nil {
-			_ = surplus.Close()
+			surplus.discard()
 			continue
 		}
 		c.relieve(time.Now())
--- a/enforcer/enforcer.go
+++ b/enforcer/enforcer.go
@@ -45,6 +45,9 @@
 	Limits func() Limits
 	// Connections bounds the number of connections; nil sets no bound.
 	Connections *Connections
+	// Backlogs is the memory for responses that are read slowly. If it is nil, writes wait for
+	// their readers.
+	Backlogs *Backlogs
 }
 
 // Accept waits for the next connection and returns it with the limits applied, once there is
@@ -55,6 +58,7 @@
 		return nil, err
 	}
 	accepted := &conn{Conn: c, limits: l.Limits, connections: l.Connections, phase: awaitingHeader, since: time.Now()}
+	accepted.writer = newWriter(c, l.Backlogs, func() { l.Connections.remove(accepted) })
 	l.Connections.admit(accepted)
 	return accepted, nil
 }
--- a/entry.go
+++ b/entry.go
@@ -41,7 +41,7 @@
 }
 
 // EntryConfig holds the parameters of an Entry. All fields are required except
-// Seeds, Retention, Dial, Memory, ChainBytes, Connections, Grace and Drain.
+// Seeds, Retention, Dial, Memory, ChainBytes, Connections, Backlogs, Grace and Drain.
 type EntryConfig struct {
 	// Host describes this host. Its ID is its peer address.
 	Host descriptor.Host
@@ -85,6 +85,9 @@
 	ChainBytes int64
 	// Connections bounds the connections of callers; nil means that they are not bounded.
 	Connections *enforcer.Connections
+	// Backlogs is the memory for responses that callers read slowly. nil means that a response
+	// waits for its caller.
+	Backlogs *enforcer.Backlogs
 	// Grace is the grace period: how long a planned stop may take; 0 means 8 s.
 	Grace time.Duration
 	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
@@ -254,7 +257,9 @@
 			ErrorLog:          newErrorLog(e.config.Logger),
 		}
 		if endpoint.Callers {
-			endpoint.Listener = enforcer.Listener{Listener: endpoint.Listener, Limits: e.connectionLimits, Connections: e.config.Connections}
+			endpoint.Listener = enforcer.Listener{
+				Listener: endpoint.Listener, Limits: e.connectionLimits, Connections: e.config.Connections, Backlogs: e.config.Backlogs,
+			}
 			s.ConnState = enforcer.ConnState
 			callers = append(callers, s)
 		} else {
