Apply the limits of bodies and connections to the demo's front

The front for OpenAI clients read each body with io.ReadAll, up to 8 MB and without a time limit, and bounded neither connections nor the time of a write. A client that sends a declared length above the limit gets 413 before a byte is read.

--- a/allocator/bodies.go
+++ b/allocator/bodies.go
@@ -34,7 +34,7 @@
 	open map[*Body]struct{}
 }
 
-// Body is the memory of one body. Its methods may be called by one goroutine only.
+// Body is the memory of one body. It is safe for concurrent use.
 type Body struct {
 	bodies *Bodies
 	// address is the caller's, without its port.
--- a/platform/outgrown.go
+++ b/allocator/outgrown.go
@@ -1,10 +1,8 @@
-package platform
+package allocator
 
 import (
 	"math/bits"
 	"sync"
-
-	"github.com/citronpier/citronpier/allocator"
 )
 
 // outgrownBuffers has buffers that bodies have outgrown, by the logarithm of their size. A buffer
@@ -15,7 +13,7 @@
 
 // take returns an empty buffer of a size in bytes.
 func (o *outgrownBuffers) take(size int64) []byte {
-	if size >= allocator.FreeBodyBytes && size&(size-1) == 0 {
+	if size >= FreeBodyBytes && size&(size-1) == 0 {
 		if b, ok := o[bits.Len64(uint64(size))].Get().(*[]byte); ok {
 			return (*b)[:0]
 		}
@@ -25,7 +23,7 @@
 
 // put keeps a buffer that is not used any more, if its size is a power of two.
 func (o *outgrownBuffers) put(b []byte) {
-	if size := cap(b); size >= allocator.FreeBodyBytes && size&(size-1) == 0 {
+	if size := cap(b); size >= FreeBodyBytes && size&(size-1) == 0 {
 		o[bits.Len64(uint64(size))].Put(&b)
 	}
 }
--- a/cmd/citronpierd/main.go
+++ b/cmd/citronpierd/main.go
@@ -10,11 +10,13 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/citronpier/citronpier"
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/dialer"
 	"github.com/citronpier/citronpier/internal/hangup"
@@ -83,6 +85,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for other hosts: %w", err)
 	}
+	debug.SetMemoryLimit(allocator.Budget{Memory: s.memory}.RuntimeLimit())
 	dial := dialer.NewDial()
 	host, err := citronpier.New(
 		citronpier.WithHost(descriptor.Host{
@@ -98,6 +101,7 @@
 		citronpier.WithDrainTimeout(s.drainTimeout),
 		citronpier.WithDrainPeriod(s.drainPeriod),
 		citronpier.WithMaxBody(s.maxBody),
+		citronpier.WithMemory(s.memory),
 	)
 	if err != nil {
 		return err
--- a/cmd/citronpierd/settings.go
+++ b/cmd/citronpierd/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/sequencer"
 	"github.com/citronpier/citronpier/server"
 )
@@ -46,6 +47,7 @@
 	drainTimeout  time.Duration
 	drainPeriod   time.Duration
 	maxBody       int64
+	memory        int64
 }
 
 // The names of the flags. A flag can also be set by an environment variable:
@@ -64,6 +66,7 @@
 	flagDrainTimeout = "drain"
 	flagDrainPeriod  = "linger"
 	flagMaxBody      = "max-body"
+	flagMemory       = "memory-mb"
 )
 
 // The limits and defaults of the flags' values. The limits of the maximum request
@@ -72,6 +75,8 @@
 	minPeerKeyBytes     = 16
 	minBodyLimit        = 1 << 10
 	maxBodyLimit        = 64 << 20
+	minMemoryMB         = 64
+	maxMemoryMB         = 1 << 20
 	maxDuration         = time.Hour
 	defaultDrainTimeout = "2m"
 	defaultDrainPeriod  = "6s"
@@ -92,6 +97,7 @@
 		textFlag(flagDrainTimeout, defaultDrainTimeout, "longest time that a stopping host waits for running calls"),
 		textFlag(flagDrainPeriod, defaultDrainPeriod, "drain period: time for which a stopping host still accepts calls and forwards them"),
 		textFlag(flagMaxBody, strconv.Itoa(server.DefaultMaxBody), "largest request body in bytes"),
+		textFlag(flagMemory, strconv.Itoa(allocator.DefaultMemory>>20), "memory of the process in MB, which bodies, connections and slow readers share"),
 	}
 }
 
@@ -136,7 +142,8 @@
 		logger:        r.logger(),
 		drainTimeout:  r.duration(flagDrainTimeout),
 		drainPeriod:   r.duration(flagDrainPeriod),
-		maxBody:       r.bodySize(flagMaxBody),
+		maxBody:       r.number(flagMaxBody, minBodyLimit, maxBodyLimit),
+		memory:        r.number(flagMemory, minMemoryMB, maxMemoryMB) << 20,
 	}
 	return s, r.err
 }
@@ -213,12 +220,11 @@
 	return d
 }
 
-// bodySize reads a flag that is a size in bytes, from minBodyLimit to
-// maxBodyLimit.
-func (r *settingsReader) bodySize(flag string) int64 {
+// number reads a flag that is a number within bounds.
+func (r *settingsReader) number(flag string, lowest, highest int64) int64 {
 	n, err := strconv.ParseInt(r.command.String(flag), 10, 64)
-	if err != nil || n < minBodyLimit || n > maxBodyLimit {
-		r.reject(flag, fmt.Sprintf("a number from %d to %d", minBodyLimit, maxBodyLimit))
+	if err != nil || n < lowest || n > highest {
+		r.reject(flag, fmt.Sprintf("a number from %d to %d", lowest, highest))
 	}
 	return n
 }
--- a/enforcer/writer_test.go
+++ b/enforcer/writer_test.go
@@ -140,5 +140,3 @@
 		t.Error("the reader that makes progress was cut off")
 	}
 }
-
-func newReader(c net.Conn) *bufio.Reader { return bufio.NewReader(c) }
--- a/host.go
+++ b/host.go
@@ -30,7 +30,6 @@
 	"github.com/citronpier/citronpier/replayer"
 	"github.com/citronpier/citronpier/reporter"
 	"github.com/citronpier/citronpier/sequencer"
-	"github.com/citronpier/citronpier/server"
 )
 
 // stateStream is the log stream that holds budgets, idempotency keys, summaries
@@ -77,6 +76,8 @@
 	dispatcher  *dispatcher.Dispatcher
 	callers     *http.Server
 	peers       *http.Server
+	// callerListener bounds what callers' connections take.
+	callerListener net.Listener
 }
 
 // New returns a Host that Run starts. The options WithHost, WithTokenKeys,
@@ -182,16 +183,9 @@
 
 // createServers creates the HTTP servers for callers and for other hosts.
 func (h *Host) createServers(signer *sequencer.Signer) error {
-	callers, err := server.New(server.Config{
-		Commands: (*commands)(h),
-		Queries:  (*queries)(h),
-		Signer:   signer,
-		MaxBody:  h.settings.maxBody,
-	})
-	if err != nil {
+	if err := h.createCallerServer(signer); err != nil {
 		return err
 	}
-	h.callers = &http.Server{Handler: h.closeConnectionsWhenLeaving(callers), ReadHeaderTimeout: callerHeaderTimeout}
 	h.peers = messenger.NewServer(messenger.NewHandler(
 		h.settings.peerKey, (*peerCommands)(h), (*peerQueries)(h), (*peerStreams)(h),
 	))
@@ -210,10 +204,6 @@
 	})
 }
 
-// callerHeaderTimeout bounds the time that a caller takes to send the headers
-// of a request.
-const callerHeaderTimeout = 10 * time.Second
-
 // Run serves callers and other hosts until ctx ends and then stops gracefully:
 // running calls may finish, for at most the time set by WithDrainTimeout. After
 // Abandon it returns without waiting for them. It returns an error if a server
@@ -229,7 +219,7 @@
 		group.Go(func() error { return task(background) })
 	}
 	group.Go(func() error { return ignoreClosed(h.peers.Serve(h.settings.peerListener)) })
-	group.Go(func() error { return ignoreClosed(h.callers.Serve(h.settings.callerListener)) })
+	group.Go(func() error { return ignoreClosed(h.callers.Serve(h.callerListener)) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/option.go
+++ b/option.go
@@ -34,6 +34,7 @@
 	drainTimeout   time.Duration
 	drainPeriod    time.Duration
 	maxBody        int64
+	memory         int64
 	routing        router.Policy
 	order          scheduler.Discipline
 }
@@ -123,3 +124,7 @@
 // WithMaxBody bounds a request body, in bytes. The default is
 // server.DefaultMaxBody.
 func WithMaxBody(n int64) Option { return func(s *settings) { s.maxBody = n } }
+
+// WithMemory sets the memory of the process, in bytes, from which the parts for callers' bodies,
+// connections and slow readers are derived. The default is allocator.DefaultMemory.
+func WithMemory(bytes int64) Option { return func(s *settings) { s.memory = bytes } }
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -119,7 +119,7 @@
 // Transient reports whether the same call may succeed at another host or later.
 func (r Reason) Transient() bool {
 	switch r {
-	case Log, Rules, Leaving, Upstream, Home, Superseded, Unfinished, Queue, Rate:
+	case Log, Rules, Leaving, Upstream, Home, Superseded, Unfinished, Queue, Rate, Memory:
 		return true
 	default:
 		return false
--- a/server/backend.go
+++ b/server/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/messenger"
@@ -67,7 +68,7 @@
 	Hosts int `json:"hosts"`
 }
 
-// Config holds the parameters of a Server. Only MaxBody is optional.
+// Config holds the parameters of a Server. MaxBody and Bodies are optional.
 type Config struct {
 	Commands Commands
 	Queries  Queries
@@ -75,6 +76,8 @@
 	Signer *sequencer.Signer
 	// MaxBody bounds a request body in bytes; 0 means DefaultMaxBody.
 	MaxBody int64
+	// Bodies is the memory for request bodies; nil means that it has the default size.
+	Bodies *allocator.Bodies
 }
 
 // DefaultMaxBody is the largest accepted request body, in bytes, unless Config
--- a/server/request.go
+++ b/server/request.go
@@ -2,9 +2,6 @@
 
 import (
 	"crypto/rand"
-	"errors"
-	"io"
-	"net/http"
 	"strconv"
 	"strings"
 
@@ -41,20 +38,6 @@
 	return strings.TrimSpace(key), found && strings.EqualFold(scheme, "bearer") && strings.TrimSpace(key) != ""
 }
 
-// body reads the body of a request. It refuses a body above the size limit.
-func (s *Server) body(ctx iris.Context) ([]byte, error) {
-	reader := http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, s.config.MaxBody)
-	raw, err := io.ReadAll(reader)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, refuser.New(refuser.Oversize, "the body is larger than %d bytes", s.config.MaxBody)
-	case err != nil:
-		return nil, refuser.New(refuser.Malformed, "the body could not be read: %w", err)
-	}
-	return raw, nil
-}
-
 // readRequest authenticates a request and sets the fields of req that come from
 // the headers. It returns the body and the signed token of the program's previous
 // call. The token is nil if the request carries none.
--- a/server/server.go
+++ b/server/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/parser"
 	"github.com/citronpier/citronpier/refuser"
 )
@@ -21,6 +22,9 @@
 	if c.MaxBody == 0 {
 		c.MaxBody = DefaultMaxBody
 	}
+	if c.Bodies == nil {
+		c.Bodies = &allocator.Bodies{}
+	}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	app.Configure(iris.WithoutBanner, iris.WithoutStartupLog, iris.WithoutPathCorrectionRedirection)
