Bound the turns that a host keeps for programs

Turns of permitted size on a route that retains them stay in memory for their retention: 60 turns of 4 MB took 292580 KiB of 122880 on a host of 120 MB. Large turns (from 256 KiB) of an entry host take half of the memory for turns per retention, and a home whose turns exceed that memory begins none that is to be recorded. Both answer 503, not run. The text of earlier turns in a request to an upstream counts in the memory for responses, and the cached chains of other shards are bounded by bytes.

The parts of the memory are now: bodies and responses 25 % each, turns 15, connections 10, slow readers and cached chains 5 each, of the runtime's limit.

--- a/allocator/bodies_test.go
+++ b/allocator/bodies_test.go
@@ -186,7 +186,7 @@
 		if memory == 0 {
 			memory = allocator.DefaultMemory
 		}
-		parts := b.Bodies() + b.Responses() + b.Readers() + b.Chains()
+		parts := b.Bodies() + b.Responses() + b.Readers() + b.Chains() + b.Turns()
 		if parts >= b.RuntimeLimit() || b.RuntimeLimit() >= memory || b.Bodies() < bodyLimit || b.Connections() < 100 {
 			t.Errorf("%d MB: parts %d, limit %d, bodies %d, connections %d", mb, parts, b.RuntimeLimit(), b.Bodies(), b.Connections())
 		}
@@ -208,3 +208,15 @@
 		t.Errorf("trickling, steady, error (-want +got):\n%s", diff)
 	}
 }
+
+// What was added long ago takes room, or additions take more than there is.
+func TestWindow(t *testing.T) {
+	window, now := &allocator.Window{Bytes: 100}, time.Unix(1000, 0)
+	add := func(bytes int64) bool { return window.Add(bytes, time.Minute, now) }
+	got := []bool{add(200), add(1)}
+	now = now.Add(time.Minute)
+	got = append(got, add(60), add(41), add(40))
+	if diff := cmp.Diff([]bool{true, false, true, false, true}, got); diff != "" {
+		t.Errorf("added (-want +got):\n%s", diff)
+	}
+}
--- a/allocator/budget.go
+++ b/allocator/budget.go
@@ -25,9 +25,10 @@
 // The parts of a Budget, in percent of RuntimeLimit. The rest is for what is not counted.
 const (
 	bodiesPercent      = 25
-	responsesPercent   = 20
-	readersPercent     = 10
-	chainsPercent      = 10
+	responsesPercent   = 25
+	readersPercent     = 5
+	chainsPercent      = 5
+	turnsPercent       = 15
 	connectionsPercent = 10
 )
 
@@ -43,6 +44,9 @@
 // Chains returns the bytes for the cached chains of turns.
 func (b Budget) Chains() int64 { return b.percent(chainsPercent) }
 
+// Turns returns the bytes for the turns that are kept in memory for their programs.
+func (b Budget) Turns() int64 { return b.percent(turnsPercent) }
+
 // Connections returns the number of connections of callers that the memory allows.
 func (b Budget) Connections() int { return int(b.percent(connectionsPercent) / connectionBytes) }
 
--- a/entry.go
+++ b/entry.go
@@ -41,7 +41,8 @@
 }
 
 // EntryConfig holds the parameters of an Entry. All fields are required except
-// Seeds, Retention, Dial, Memory, ChainBytes, Connections, Backlogs, Grace and Drain.
+// Seeds, Retention, Dial, Memory, ChainBytes, TurnBytes,
+// Connections, Backlogs, Grace and Drain.
 type EntryConfig struct {
 	// Host describes this host. Its ID is its peer address.
 	Host descriptor.Host
@@ -83,6 +84,9 @@
 	Memory *allocator.Pool
 	// ChainBytes bounds the chains that are cached for turns, in bytes; 0 means 32 MB.
 	ChainBytes int64
+	// TurnBytes bounds the turns that this host keeps in memory for their programs, in bytes; 0
+	// means that they are not bounded.
+	TurnBytes int64
 	// Connections bounds the connections of callers; nil means that they are not bounded.
 	Connections *enforcer.Connections
 	// Backlogs is the memory for responses that callers read slowly. nil means that a response
@@ -175,6 +179,7 @@
 		RecordBytes:    c.RecordBytes,
 		CallBytes:      c.CallBytes,
 		Retention:      c.Retention,
+		MemoryBytes:    c.TurnBytes,
 		Home:           e.navigator.IsHome,
 		StoreReachable: e.relayer.Available,
 		Unavailable:    e.relayer.Unavailable,
@@ -206,6 +211,7 @@
 		ReportCrash:      e.reportCrash,
 		Memory:           c.Memory,
 		ChainBytes:       c.ChainBytes,
+		LargeTurns:       largeTurns(c.TurnBytes),
 		Homes:            e.navigator,
 		Exchanger:        e.exchanger,
 		Tracker:          &e.tracker,
@@ -215,6 +221,17 @@
 	})
 }
 
+// largeTurnsDivisor sets the part of the memory for turns that large ones may take: a half.
+const largeTurnsDivisor = 2
+
+// largeTurns returns the bound of large turns, where the memory for turns has a number of bytes.
+func largeTurns(turnBytes int64) *allocator.Window {
+	if turnBytes == 0 {
+		return nil
+	}
+	return &allocator.Window{Bytes: turnBytes / largeTurnsDivisor}
+}
+
 // dialOr returns dial if it is not nil. Otherwise it returns a Dial whose
 // connections fail when sent bytes stay unacknowledged for the given time.
 func dialOr(dial connector.Dial, unacked time.Duration) connector.Dial {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -79,6 +79,8 @@
 	Memory *allocator.Pool
 	// ChainBytes bounds the chains that are cached, in bytes; 0 means 32 MB.
 	ChainBytes int64
+	// LargeTurns bounds the large turns that are kept for their programs; nil is no limit.
+	LargeTurns *allocator.Window
 	Homes      HomeClient
 	Exchanger  *exchanger.Exchanger
 	Tracker    *UpstreamTracker
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/keeper"
@@ -38,6 +39,9 @@
 	// output is the data of the events that were received so far, each followed by a
 	// line feed.
 	output []byte
+	// memory is that of the earlier turns which the request to the upstream contains; nil if it
+	// contains none.
+	memory *allocator.Grant
 }
 
 // OutputTooLongError reports a turn that generates more text than is kept of a turn.
@@ -61,6 +65,9 @@
 	if e.request.Program == "" && !t.kind.Retain && !resumes {
 		return nil
 	}
+	if o := e.admitLarge(t, time.Now()); o != nil {
+		return o
+	}
 	chain, cached := e.chains.Get(e.scoped(e.request.Previous))
 	reply, o := e.reserveTurn(ctx, e.beginRequest(t, cached))
 	if o != nil {
@@ -82,6 +89,10 @@
 		chain = reply.GetChain()
 		e.cacheChain(e.scoped(e.request.Previous), chain)
 	}
+	if o := e.reserveChain(t, len(chain)+len(t.input)); o != nil {
+		e.settleInBackground(t)
+		return o
+	}
 	e.prependChain(t, chain)
 	return nil
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -57,6 +57,9 @@
 	CallBytes int
 	// Retention is how long the store keeps records; 0 means forever.
 	Retention time.Duration
+	// MemoryBytes bounds the texts of turns in memory, in bytes: above it, no turn begins that
+	// is to be recorded. 0 means no bound.
+	MemoryBytes int64
 	// Home reports whether this host is home of a shard, according to its own view
 	// of the membership.
 	Home func(shard int, now time.Time) bool
@@ -82,6 +85,8 @@
 	ctx context.Context
 	// lastSequence is the sequence number of the newest batch of this incarnation.
 	lastSequence atomic.Uint64
+	// textBytes is the size of the texts of turns in memory, as measured last.
+	textBytes atomic.Int64
 
 	mu sync.Mutex
 	// shards holds the shards in memory by their number. mu guards it.
@@ -145,6 +150,9 @@
 	if !ok {
 		return &messenger.BeginReply{Verdict: messenger.BeginReply_ELSEWHERE}
 	}
+	if r.GetRetain() && k.isFull() {
+		return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the memory for turns is used up"}
+	}
 	if s.needsStore(r) && !k.awaitStore(ctx, r, now) {
 		return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the store is away"}
 	}
@@ -220,6 +228,7 @@
 	if err != nil {
 		return err
 	}
+	defer k.measure()
 	return s.appendTurn(ctx, r, chain)
 }
 
@@ -236,6 +245,7 @@
 // For a shard whose home is now another host, it releases the allowances, and drops
 // the shard once the shard is idle.
 func (k *Keeper) Tick(now time.Time) {
+	defer k.measure()
 	if k.config.Retention > 0 {
 		k.visitShards(now)
 	}
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -176,6 +176,7 @@
 	if s.otherChains == nil {
 		s.otherChains = make(map[string][]byte)
 	}
+	s.makeRoomForChain(len(chain))
 	s.otherChains[turn] = chain
 }
 
