--- a/allocator/bodies.go
+++ b/allocator/bodies.go
@@ -32,6 +32,8 @@
 	// used is the sum of held over all open bodies.
 	used int64
 	open map[*Body]struct{}
+	// shed counts the bodies that gave way.
+	shed int64
 }
 
 // Body is the memory of one body. It is safe for concurrent use.
@@ -98,13 +100,31 @@
 	return b.used
 }
 
+// Shed returns the number of bodies that gave way.
+func (b *Bodies) Shed() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.shed
+}
+
+// giveWay removes a body so that others have its memory, and interrupts it. The caller must hold
+// mu.
+func (b *Bodies) giveWay(body *Body) {
+	b.remove(body)
+	b.shed++
+	body.shed()
+}
+
 // Grow sets the memory that the body holds to a larger number of bytes. The error is a
 // *ShedError; the body then holds nothing.
 func (b *Body) Grow(bytes int64, now time.Time) error {
 	b.bodies.mu.Lock()
 	defer b.bodies.mu.Unlock()
 	if b.state == gone || !b.bodies.makeRoom(b, bytes-b.held, now) {
-		b.bodies.remove(b)
+		if b.state != gone {
+			b.bodies.remove(b)
+			b.bodies.shed++
+		}
 		return &ShedError{Received: b.received}
 	}
 	b.bodies.used += bytes - b.held
--- a/allocator/victim.go
+++ b/allocator/victim.go
@@ -10,8 +10,7 @@
 		if victim == nil {
 			return false
 		}
-		b.remove(victim)
-		victim.shed()
+		b.giveWay(victim)
 	}
 	return true
 }
@@ -30,8 +29,7 @@
 	if victim == nil {
 		return false
 	}
-	b.remove(victim)
-	victim.shed()
+	b.giveWay(victim)
 	return true
 }
 
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -28,6 +28,8 @@
 	// Crashes counts reports of requests that upstreams ran when they ended. The keys are
 	// what happened to a report (CrashReport).
 	Crashes expvar.Map
+	// Memory has gauges and counters of what callers take of the host.
+	Memory expvar.Map
 
 	mu sync.Mutex
 	// times holds the durations of single requests in microseconds.
@@ -190,6 +192,7 @@
 	host.Set("stages", &s.Stages)
 	host.Set("dropped", &s.Dropped)
 	host.Set("crashes", &s.Crashes)
+	host.Set("memory", &s.Memory)
 	host.Set("programs", s.Programs())
 	host.Set("times", s.Times())
 	_, err := fmt.Fprintf(w, "{%s: %s", strconv.Quote("citronpier"), host.String())
--- a/enforcer/backlogs.go
+++ b/enforcer/backlogs.go
@@ -61,7 +61,6 @@
 			break
 		}
 		b.remove(slowest)
-		b.cut++
 		go slowest.end()
 	}
 	if bytes == 0 {
@@ -106,11 +105,12 @@
 	}
 }
 
-// drop removes a backlog.
+// drop removes the backlog of a reader that is cut off.
 func (b *Backlogs) drop(l *backlog) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.remove(l)
+	b.cut++
 }
 
 // remove removes a backlog. The caller must hold mu.
--- a/entry.go
+++ b/entry.go
@@ -42,7 +42,7 @@
 
 // EntryConfig holds the parameters of an Entry. All fields are required except
 // Seeds, Retention, Dial, Memory, ChainBytes, TurnBytes,
-// Connections, Backlogs, Grace and Drain.
+// Connections, Bodies, Backlogs, Grace and Drain.
 type EntryConfig struct {
 	// Host describes this host. Its ID is its peer address.
 	Host descriptor.Host
@@ -89,6 +89,8 @@
 	TurnBytes int64
 	// Connections bounds the connections of callers; nil means that they are not bounded.
 	Connections *enforcer.Connections
+	// Bodies is the memory for the bodies of callers, which the metrics show; nil if there is none.
+	Bodies *allocator.Bodies
 	// Backlogs is the memory for responses that callers read slowly. nil means that a response
 	// waits for its caller.
 	Backlogs *enforcer.Backlogs
@@ -190,6 +192,7 @@
 	e.exchanger = exchanger.New(c.Codec, dialOr(c.Dial, exchanger.UnackedUpstream)).WithMemory(c.Memory)
 	e.peers.dial, e.peers.memory = dialOr(c.Dial, exchanger.UnackedPeer), c.Memory
 	e.forwarder = e.newForwarder()
+	e.exposeMemory()
 	return e
 }
 
@@ -221,17 +224,6 @@
 	})
 }
 
-// largeTurnsDivisor sets the part of the memory for turns that large ones may take: a half.
-const largeTurnsDivisor = 2
-
-// largeTurns returns the bound of large turns, where the memory for turns has a number of bytes.
-func largeTurns(turnBytes int64) *allocator.Window {
-	if turnBytes == 0 {
-		return nil
-	}
-	return &allocator.Window{Bytes: turnBytes / largeTurnsDivisor}
-}
-
 // dialOr returns dial if it is not nil. Otherwise it returns a Dial whose
 // connections fail when sent bytes stay unacknowledged for the given time.
 func dialOr(dial connector.Dial, unacked time.Duration) connector.Dial {
--- a/entry_stop.go
+++ b/entry_stop.go
@@ -49,7 +49,7 @@
 			e.config.Logger.Warn().Err(err).Int64("active", e.active.Load()).Msg("grace period ended, remaining requests are cut")
 		}
 	}
-	for e.active.Load() > 0 && ctx.Err() == nil {
+	for (e.active.Load() > 0 || e.hasBacklog()) && ctx.Err() == nil {
 		waiter.Sleep(ctx, drainPollInterval)
 	}
 }
