--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -123,6 +123,8 @@
 	dial connector.Dial
 	// memory is what responses take their memory from; nil is no limit.
 	memory *allocator.Pool
+	// largeTurns bounds large turns that are kept; nil is no limit.
+	largeTurns *allocator.Window
 
 	mu sync.Mutex
 	// list is the service-discovery list.
@@ -226,6 +228,7 @@
 		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return nil },
 		Homes:         f.home,
 		Memory:        f.memory,
+		LargeTurns:    f.largeTurns,
 		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
 		Counters:      &counter.Set{},
