--- a/counter/counter.go
+++ b/counter/counter.go
@@ -28,6 +28,8 @@
 	// Crashes counts reports of requests that upstreams ran when they ended. The keys are
 	// what happened to a report (CrashReport).
 	Crashes expvar.Map
+	// Memory has gauges and counters of what callers take of the host.
+	Memory expvar.Map
 
 	// gauges reads further values, by name.
 	gauges map[string]func() expvar.Var
@@ -201,6 +203,7 @@
 	host.Set("dropped", &s.Dropped)
 	host.Set("crashes", &s.Crashes)
 	host.Set("admissions", &s.Admissions)
+	host.Set("memory", &s.Memory)
 	host.Set("programs", s.Programs())
 	host.Set("times", s.Times())
 	for name, read := range s.gauges {
--- a/entry.go
+++ b/entry.go
@@ -42,7 +42,8 @@
 }
 
 // EntryConfig holds the parameters of an Entry. All fields are required except
-// Seeds, Retention, Dial, Memory, Grace and Drain.
+// Seeds, Retention, Dial, Memory, ChainBytes, TurnBytes,
+// Connections, Bodies, Backlogs, Grace and Drain.
 type EntryConfig struct {
 	// Host describes this host. Its ID is its peer address.
 	Host descriptor.Host
@@ -82,6 +83,18 @@
 	// Memory is what the responses of upstreams and of other hosts take their memory from.
 	// nil means that it is not bounded.
 	Memory *allocator.Pool
+	// ChainBytes bounds the chains that are cached for turns, in bytes; 0 means 32 MB.
+	ChainBytes int64
+	// TurnBytes bounds the turns that this host keeps in memory for their programs, in bytes; 0
+	// means that they are not bounded.
+	TurnBytes int64
+	// Connections bounds the connections of callers; nil means that they are not bounded.
+	Connections *enforcer.Connections
+	// Bodies is the memory for the bodies of callers, which the metrics show; nil if there is none.
+	Bodies *allocator.Bodies
+	// Backlogs is the memory for responses that callers read slowly. nil means that a response
+	// waits for its caller.
+	Backlogs *enforcer.Backlogs
 	// Grace is the grace period: how long a planned stop may take; 0 means 8 s.
 	Grace time.Duration
 	// Drain is how long an upstream serves on after it has begun to leave; 0 if it is not
@@ -177,6 +190,7 @@
 		RecordBytes:    c.RecordBytes,
 		CallBytes:      c.CallBytes,
 		Retention:      c.Retention,
+		MemoryBytes:    c.TurnBytes,
 		Home:           e.navigator.IsHome,
 		StoreReachable: e.relayer.Available,
 		Unavailable:    e.relayer.Unavailable,
@@ -193,6 +207,7 @@
 	})
 	e.counters.Gauge("organisations", e.allowances.metrics)
 	e.forwarder = e.newForwarder()
+	e.exposeMemory()
 	return e
 }
 
@@ -216,6 +231,8 @@
 		Admission:        &e.admission.admitter,
 		AdmissionActive:  e.admission.active.Load,
 		Memory:           c.Memory,
+		ChainBytes:       c.ChainBytes,
+		LargeTurns:       largeTurns(c.TurnBytes),
 		Homes:            e.navigator,
 		Exchanger:        e.exchanger,
 		Tracker:          &e.tracker,
@@ -267,7 +284,9 @@
 			ErrorLog:          newErrorLog(e.config.Logger),
 		}
 		if endpoint.Callers {
-			endpoint.Listener = enforcer.Listener{Listener: endpoint.Listener, Limits: e.connectionLimits}
+			endpoint.Listener = enforcer.Listener{
+				Listener: endpoint.Listener, Limits: e.connectionLimits, Connections: e.config.Connections, Backlogs: e.config.Backlogs,
+			}
 			s.ConnState = enforcer.ConnState
 			callers = append(callers, s)
 		} else {
@@ -334,7 +353,7 @@
 // connectionLimits returns the configured time limits of callers' connections.
 func (e *Entry) connectionLimits() enforcer.Limits {
 	limits := e.watcher.Configuration().Limits
-	return enforcer.Limits{Header: limits.HeaderTime, Idle: limits.Idle}
+	return enforcer.Limits{Header: limits.HeaderTime, Idle: limits.Idle, HeaderBytes: limits.Header}
 }
 
 // Ready reports whether the host accepts requests: it has read the upstreams
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -135,6 +135,8 @@
 	admission *admitter.Admitter
 	// loads are the loads that other hosts report.
 	loads map[uint64]forwarder.UpstreamLoad
+	// largeTurns bounds large turns that are kept; nil is no limit.
+	largeTurns *allocator.Window
 
 	mu sync.Mutex
 	// list is the service-discovery list.
@@ -245,6 +247,7 @@
 		RemoteLoads:   func(time.Time) map[uint64]forwarder.UpstreamLoad { return f.loads },
 		Memory:        f.memory,
 		Admission:     f.admission,
+		LargeTurns:    f.largeTurns,
 		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
 		Counters:      &counter.Set{},
--- a/refuser/reason.go
+++ b/refuser/reason.go
@@ -50,6 +50,7 @@
 	Stale      Reason = "stale"       // the host can't show that its configuration is recent enough to accept a key
 	Limited    Reason = "limited"     // the upstreams take no more requests now than the limits that they name
 	Late       Reason = "late"        // the deadline passed before any upstream could have run the request
+	Memory     Reason = "memory"      // the body gave way to others because the memory for bodies was used up
 	Timeout    Reason = "timeout"     // the deadline passed after an upstream may have begun to run the request
 )
 
@@ -103,6 +104,7 @@
 	Quarantine: http.StatusServiceUnavailable,
 	Limited:    http.StatusServiceUnavailable,
 	Stale:      http.StatusServiceUnavailable,
+	Memory:     http.StatusServiceUnavailable,
 	Late:       http.StatusServiceUnavailable,
 	Timeout:    http.StatusGatewayTimeout,
 }
@@ -119,7 +121,7 @@
 // Transient reports whether the same call may succeed at another host or later.
 func (r Reason) Transient() bool {
 	switch r {
-	case Log, Rules, Leaving, Upstream, Home, Superseded, Unfinished, Queue, Rate:
+	case Log, Rules, Leaving, Upstream, Home, Superseded, Unfinished, Queue, Rate, Memory:
 		return true
 	default:
 		return false
