Ask the program's home before a turn takes a credit of its organisation

Callers spread the turns of a program over hosts, and a host that had not seen the program took them for the beginning of one.

Change: a turn takes its credit once the program's home has let it run; the home tells whether the program has begun.

--- a/forwarder/allowance.go
+++ b/forwarder/allowance.go
@@ -160,7 +160,8 @@
 }
 
 // allowanceKind returns what the request is to its program. A call never begins a program, and a
-// stream does if it continues no turn and this host has not seen its program.
+// stream does if it continues no turn, this host has not seen its program, and the program's home
+// knows no earlier turn.
 func (e *exchange) allowanceKind(program knownProgram) granter.Kind {
 	_, stream := e.route.Kind.(descriptor.Stream)
 	switch {
@@ -168,7 +169,7 @@
 		return granter.Continuing
 	case program.program == "":
 		return granter.Single
-	case stream && e.request.Previous == "" && !e.known.Contains(program):
+	case stream && e.request.Previous == "" && e.programUpstream == "" && !e.known.Contains(program):
 		return granter.Beginning
 	default:
 		return granter.Continuing
--- a/forwarder/allowance_test.go
+++ b/forwarder/allowance_test.go
@@ -150,7 +150,7 @@
 	}{
 		{
 			"turns",
-			descriptor.Stream{},
+			descriptor.Stream{Resumable: true},
 			[]descriptor.Request{inProgram("p", "", ""), inProgram("p", "", ""), inProgram("q", "turn", ""), inProgram("r", "", "7"), inProgram("", "", "")},
 			[]granter.Kind{granter.Beginning, granter.Continuing, granter.Continuing, granter.Continuing, granter.Single},
 		},
@@ -164,7 +164,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			f, allowances := newFixture(), &fakeAllowances{decision: forwarder.AllowanceTaken{}}
 			f.allowances = allowances
-			f.startOrganisations(t, c.kind, f.startUpstream(t, "u", answerOK))
+			f.home.bound = make(chan *messenger.BindRequest, len(c.requests))
+			upstream := f.startUpstream(t, "u", answerOK)
+			f.home.build = &messenger.Build{Service: upstream.Service, Version: upstream.Version}
+			f.startOrganisations(t, c.kind, upstream)
 			for _, r := range c.requests {
 				f.serve(t, r)
 			}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -180,14 +180,14 @@
 	limited, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.caller = limited
-	if o := e.takeAllowance(limited, now); o != nil {
-		return o
-	}
 	defer e.returnAllowance()
 	switch kind := route.Kind.(type) {
 	case descriptor.Stream:
 		return e.serveStream(limited, kind)
 	default:
+		if o := e.takeAllowance(limited, now); o != nil {
+			return o
+		}
 		return e.serveCall(limited)
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -24,6 +24,11 @@
 	if o := e.beginTurn(ctx, t); o != nil {
 		return o
 	}
+	// The program's home tells whether the program has begun, so it is asked first.
+	if o := e.takeAllowance(ctx, time.Now()); o != nil {
+		e.settleInBackground(t)
+		return o
+	}
 	if o := e.admit(time.Now()); o != nil {
 		e.settleInBackground(t)
 		return o
