Cut off no reader for time in which the host did not run

The wait for room counts 40 ms for each check at most, and a wake-up between check and wait is not lost any more.

--memory-mb has no default: without it the runtime keeps no memory limit, as before.

--- a/cmd/citronpierd/main.go
+++ b/cmd/citronpierd/main.go
@@ -85,7 +85,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for other hosts: %w", err)
 	}
-	debug.SetMemoryLimit(allocator.Budget{Memory: s.memory}.RuntimeLimit())
+	if s.memory > 0 {
+		debug.SetMemoryLimit(allocator.Budget{Memory: s.memory}.RuntimeLimit())
+	}
 	dial := dialer.NewDial()
 	host, err := citronpier.New(
 		citronpier.WithHost(descriptor.Host{
--- a/cmd/citronpierd/settings.go
+++ b/cmd/citronpierd/settings.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
-	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/sequencer"
 	"github.com/citronpier/citronpier/server"
 )
@@ -97,7 +96,7 @@
 		textFlag(flagDrainTimeout, defaultDrainTimeout, "longest time that a stopping host waits for running calls"),
 		textFlag(flagDrainPeriod, defaultDrainPeriod, "drain period: time for which a stopping host still accepts calls and forwards them"),
 		textFlag(flagMaxBody, strconv.Itoa(server.DefaultMaxBody), "largest request body in bytes"),
-		textFlag(flagMemory, strconv.Itoa(allocator.DefaultMemory>>20), "memory of the process in MB, which bodies, connections and slow readers share"),
+		textFlag(flagMemory, "0", "memory of the process in MB, which bodies, connections and slow readers share; 0 if it is unknown"),
 	}
 }
 
@@ -143,7 +142,7 @@
 		drainTimeout:  r.duration(flagDrainTimeout),
 		drainPeriod:   r.duration(flagDrainPeriod),
 		maxBody:       r.number(flagMaxBody, minBodyLimit, maxBodyLimit),
-		memory:        r.number(flagMemory, minMemoryMB, maxMemoryMB) << 20,
+		memory:        r.memory(flagMemory),
 	}
 	return s, r.err
 }
@@ -229,6 +228,15 @@
 	return n
 }
 
+// memory reads a flag that is the memory of the process in MB; 0 means that it is unknown. It
+// returns bytes.
+func (r *settingsReader) memory(flag string) int64 {
+	if r.command.String(flag) == "0" {
+		return 0
+	}
+	return r.number(flag, minMemoryMB, maxMemoryMB) << 20
+}
+
 // logger returns a logger to standard error with the level and format that the
 // flags set.
 func (r *settingsReader) logger() zerolog.Logger {
--- a/enforcer/writer.go
+++ b/enforcer/writer.go
@@ -17,6 +17,8 @@
 	roomTimeout = 10 * time.Second
 	// roomPause is the time between two checks whether there is room.
 	roomPause = 20 * time.Millisecond
+	// maxRoomPause is what counts at most of the time between two checks.
+	maxRoomPause = 2 * roomPause
 	// takeTimeout is how long a reader may take nothing of a backlog.
 	takeTimeout = 30 * time.Second
 	// flushBytes is the size of a write from the backlog.
@@ -131,19 +133,18 @@
 
 // keep adds p to the backlog as there is room. The caller must hold mu.
 func (w *writer) keep(p []byte) error {
-	deadline := w.deadline
-	if deadline.IsZero() {
-		deadline = time.Now().Add(roomTimeout)
+	patience := roomTimeout
+	if !w.deadline.IsZero() {
+		patience = time.Until(w.deadline)
 	}
 	for len(p) > 0 && w.err == nil {
-		now := time.Now()
-		n := w.backlogs.grant(&w.held, int64(min(len(p), maxBacklog-w.pending.Len())), now)
-		if n == 0 && !now.Before(deadline) {
+		n := w.backlogs.grant(&w.held, int64(min(len(p), maxBacklog-w.pending.Len())), time.Now())
+		if n == 0 && patience <= 0 {
 			w.cutLocked()
 			break
 		}
 		if n == 0 {
-			w.awaitRoom()
+			patience -= w.awaitRoom()
 			continue
 		}
 		_, _ = w.pending.Write(p[:n])
@@ -156,11 +157,18 @@
 	return w.err
 }
 
-// awaitRoom waits until the backlog may have room. The caller must hold mu.
-func (w *writer) awaitRoom() {
-	timer := time.AfterFunc(roomPause, w.room.Broadcast)
+// awaitRoom waits until the backlog may have room, and returns for how long. Time in which the
+// process did not run does not count: its reader may have room then. The caller must hold mu.
+func (w *writer) awaitRoom() time.Duration {
+	began := time.Now()
+	timer := time.AfterFunc(roomPause, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.room.Broadcast()
+	})
 	defer timer.Stop()
 	w.room.Wait()
+	return min(time.Since(began), maxRoomPause)
 }
 
 // flush writes the backlog until it is empty or the writer has failed.
