Ask for credits in advance only while the home gives them

Hosts called the home up to 1.7 times a request: after each grant that was smaller than wanted they asked again 50 ms later.

Change: a host that got fewer credits than it asked for waits for 500 ms, or until a request waits. Programs save up 1 s of the rate beside the burst.

--- a/entry_allowances.go
+++ b/entry_allowances.go
@@ -152,7 +152,7 @@
 	p := a.pool(name)
 	if c, ok := p.Spend(r.Kind, up); ok {
 		p.taken++
-		if p.Wanted(up) > 0 {
+		if p.Refill(up) {
 			a.refill(name, now)
 		}
 		return forwarder.AllowanceTaken{Credit: c}, nil
--- a/granter/model_host_test.go
+++ b/granter/model_host_test.go
@@ -72,12 +72,12 @@
 
 // refill asks for credits in advance.
 func (h *host) refill() {
-	if h.pool.Wanted(h.now) == 0 || h.calling {
+	if !h.pool.Refill(h.now) || h.calling {
 		return
 	}
 	if gap := h.called + refillGap - h.now; gap > 0 {
 		h.after(gap, func() {
-			if !h.calling && h.pool.Wanted(h.now) > 0 {
+			if !h.calling && h.pool.Refill(h.now) {
 				h.call()
 			}
 		})
--- a/granter/pool.go
+++ b/granter/pool.go
@@ -10,6 +10,9 @@
 	// the requests a second from which it holds any: credits that expire are lost.
 	advanceTime    = 300 * time.Millisecond
 	minAdvanceRate = 0.7
+	// scarceTime is the time in which a host does not ask again for credits in advance that the
+	// home did not give.
+	scarceTime = 500 * time.Millisecond
 	// demandTime is the time over which the requests a second are averaged.
 	demandTime = 2 * time.Second
 )
@@ -70,6 +73,10 @@
 	// told is when the home last answered.
 	told               time.Duration
 	programs, requests int
+	// asked is the number of credits that the last claim was for, and scarce is until when none
+	// are asked for in advance without a waiting request, because the home gave fewer.
+	asked  int
+	scarce time.Duration
 }
 
 // Told returns when the home last answered; 0 if it never did.
@@ -193,6 +200,9 @@
 	return target - held
 }
 
+// Refill reports whether the host should ask for credits in advance while no request waits.
+func (p *Pool) Refill(now time.Duration) bool { return now >= p.scarce && p.Wanted(now) > 0 }
+
 // Claim returns the claim for the numbers of waiting requests of each kind.
 func (p *Pool) Claim(waiting [Kinds]int, now time.Duration) Claim {
 	c := Claim{
@@ -200,6 +210,7 @@
 		Programs: p.programs, Requests: p.requests,
 	}
 	p.programs, p.requests = 0, 0
+	p.asked = c.Wanted + waiting[Continuing]
 	return c
 }
 
@@ -209,6 +220,9 @@
 		p.add(lot{credits: g.Credits, beginnings: g.Beginnings, expires: sent + Validity})
 	}
 	p.short, p.told = g.Short, now
+	if g.Credits < p.asked {
+		p.scarce = now + scarceTime
+	}
 	for kind, retry := range g.Retry {
 		p.refused[kind] = 0
 		if retry > 0 {
--- a/granter/programs.go
+++ b/granter/programs.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// programSeconds is the time at the rate that is saved up for programs beside the burst.
-	programSeconds = 2
+	// programSeconds is the time at the rate that is saved up for programs beside the burst. With
+	// 2 s, twice as many of the programs that begin at the onset of an overload fail midway.
+	programSeconds = 1
 	// spareFraction of the rate is not for programs that begin, if they have many requests. At
 	// the whole rate, programs that have begun would meet an empty bucket whenever many of them
 	// ask at once.
