Divide brief requests between upstreams by demand and speed

Callers saw: in a fleet of 82 hosts, requests waited for upstreams whose slots were all in use while others had free ones, and were sent again after full queues had refused them.

Cause: hosts choose the least of loads that were reported 150 to 1,200 ms ago. Requests of 6 to 26 ms have ended by then, so the reports say nothing about free slots, and all hosts turn to the same upstream.

Change: hosts that don't hear all others (more than gossiper.ReportFanout + 1 live, or contract "pressure") divide requests that take less than 300 ms by what does not depend on the choices of others: the demands that hosts of their data centre report, scaled to data centres that they do not hear, and the slots and learned speeds of upstreams. Requests with prompts and long requests are chosen as before, as are all in smaller fleets.

No message is added.

--- a/entry.go
+++ b/entry.go
@@ -41,7 +41,7 @@
 }
 
 // EntryConfig holds the parameters of an Entry. All fields are required except
-// Seeds, Retention, Dial, Memory, Grace and Drain.
+// Seeds, Retention, Dial, Memory, Grace, Drain and Pressure.
 type EntryConfig struct {
 	// Host describes this host. Its ID is its peer address.
 	Host descriptor.Host
@@ -89,7 +89,10 @@
 	// Revocation is the time after which a revoked key must not work any more, also on hosts
 	// that don't reach the store; 0 if there is no such bound.
 	Revocation time.Duration
-	Logger     zerolog.Logger
+	// Pressure enables in a small fleet what large fleets do under pressure: hosts balance
+	// the load of upstreams by the demands of data centres.
+	Pressure bool
+	Logger   zerolog.Logger
 }
 
 // An Entry is an entry host that keeps the history and the budgets of programs
--- /dev/null
+++ b/entry_balance_test.go
@@ -0,0 +1,46 @@
+package citronpier
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/gossiper"
+	"github.com/citronpier/citronpier/locator"
+)
+
+// A fleet whose hosts all hear each other changes its choices.
+func TestSmallFleetChoosesLeastCost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const hosts = gossiper.ReportFanout + 1
+	for _, c := range []struct {
+		hosts    int
+		pressure bool
+		want     map[string]float64
+	}{
+		{hosts, false, nil},
+		{hosts, true, map[string]float64{"dc0": 8, "dc1": 8}},
+		{hosts + 1, false, map[string]float64{"dc0": 8, "dc1": 10}},
+	} {
+		var list []descriptor.Host
+		told := make(map[string]float64)
+		for i := range c.hosts {
+			h := descriptor.Host{ID: fmt.Sprint("host", i), DataCentre: fmt.Sprint("dc", i%2)}
+			list = append(list, h)
+			if h.DataCentre == "dc0" && i > 0 {
+				told[h.ID] = 2
+			}
+		}
+		e := &Entry{config: EntryConfig{Host: list[0], Pressure: c.pressure}}
+		service := xxhash.Sum64String("s")
+		e.members.callers = locator.View{}.WithMembers(descriptor.Members{Hosts: list})
+		e.members.demands = map[uint64]map[string]float64{service: told}
+		if diff := cmp.Diff(c.want, e.members.dataCentreDemands(e, service, now)); diff != "" {
+			t.Errorf("%d hosts, pressure %v: demands of data centres (-want +got):\n%s", c.hosts, c.pressure, diff)
+		}
+	}
+}
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -54,6 +54,8 @@
 	// telling is the number of hosts that accept requests and tell this one their loads and
 	// demands, this one included.
 	telling int
+	// byDataCentre caches dataCentreDemands.
+	byDataCentre map[uint64]map[string]float64
 }
 
 // invalidate makes the next read compute the contents again.
@@ -70,6 +72,7 @@
 		return
 	}
 	c.builtAt = now
+	c.byDataCentre = nil
 	c.loads, c.demands = sumReports(e.gossiper.Loads(now))
 	var homes, callers []descriptor.Host
 	if !e.Stopping() {
--- a/entry_loads.go
+++ b/entry_loads.go
@@ -73,6 +73,8 @@
 		PerSecond: e.members.demands[xxhash.Sum64String(service)],
 		Telling:   e.members.telling,
 		Hosts:     len(e.members.callers.Live(now)),
+
+		DataCentres: e.members.dataCentreDemands(e, xxhash.Sum64String(service), now),
 	}
 }
 
--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -80,13 +80,7 @@
 	defer t.mu.Unlock()
 	demand := t.demandFor(upstreams, c.remoteDemand)
 	candidates, delays, shortestDelay := t.candidates(upstreams, c, demand, now)
-	best, ok := router.Choose(candidates, router.Request{
-		Key:        c.request.ID,
-		Prompt:     c.request.Prompt,
-		DataCentre: c.dataCentre,
-		Prefill:    t.prefills[serviceOf(upstreams)].PerToken(),
-		Distance:   crossDataCentreCost,
-	})
+	best, ok := t.best(upstreams, candidates, c, now)
 	if !ok {
 		return choice{delay: shortestDelay}, false
 	}
@@ -101,6 +95,21 @@
 	}, true
 }
 
+// best returns the candidate that is chosen. The caller must hold mu.
+func (t *UpstreamTracker) best(upstreams []descriptor.Upstream, candidates []router.Candidate, c choiceInput, now time.Time) (router.Candidate, bool) {
+	r := router.Request{
+		Key:        c.request.ID,
+		Prompt:     c.request.Prompt,
+		DataCentre: c.dataCentre,
+		Prefill:    t.prefills[serviceOf(upstreams)].PerToken(),
+		Distance:   crossDataCentreCost,
+	}
+	if c.remoteDemand.DataCentres == nil {
+		return router.Choose(candidates, r)
+	}
+	return t.chooseBalanced(upstreams, candidates, c, r, now)
+}
+
 // candidates returns the upstreams that may be chosen, and the delays of those that name a
 // limit, by id. shortestDelay is the shortest time in which one that takes no request in time
 // does, or 0. The caller must hold mu.
--- a/forwarder/health.go
+++ b/forwarder/health.go
@@ -23,6 +23,10 @@
 	// slow. A slowdown is the duration of a request relative to the service's
 	// average.
 	toleratedSlowdown = 1.5
+	// speedPriorWeight is the weight of the assumption that an upstream is as fast as the
+	// mean of its service, as a number of requests. It is low: the uneven speeds of upstreams
+	// are no fault, and a choice in proportion to them evens out errors.
+	speedPriorWeight = 0.5
 )
 
 // health has the failure rate and the slowdown of an upstream, computed from the
@@ -97,6 +101,17 @@
 	return (h.slowdownSum + priorWeight) / (h.slowdownWeight + priorWeight)
 }
 
+// relativeTime returns the expected duration of a request relative to the service's average,
+// the closer to 1 the fewer durations were measured lately.
+func (h health) relativeTime(now time.Time) float64 {
+	h = h.decayed(now)
+	return max(minRelativeTime, (h.slowdownSum+speedPriorWeight)/(h.slowdownWeight+speedPriorWeight))
+}
+
+// minRelativeTime bounds the capacity that an upstream is credited with: one that answers at
+// once may do so because it fails.
+const minRelativeTime = 0.25
+
 // cost returns the delay that failures and slowness of the upstream are expected to
 // cause to a request. overdue is the number of overdue responses of the upstream, and
 // usual is the average duration of a request to the service.
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -28,6 +28,9 @@
 	// Telling is the number of live hosts that tell this one, itself included, and Hosts the
 	// number of all live hosts.
 	Telling, Hosts int
+	// DataCentres has the requests a second that arrive at other hosts, by data centre, if
+	// the load is balanced by demands. It is nil if this host hears the loads of all others.
+	DataCentres map[string]float64
 }
 
 // recordArrival counts a request for a service.
