Tell other data centres the demand of one's own

Callers saw: with demands that differ between data centres, upstreams of the busier ones were used more than others at half load: hosts do not hear the demands of other data centres and take them for those of their own.

Change: in every fourth round, one load report is replaced by the sum of the demands of the data centre, to one of the hosts that get no load reports. Its sender has no address, so that hosts of an earlier version ignore it. The division of requests uses these sums; it spreads more under high utilisation.

--- a/entry_balance_test.go
+++ b/entry_balance_test.go
@@ -20,11 +20,14 @@
 	for _, c := range []struct {
 		hosts    int
 		pressure bool
-		want     map[string]float64
+		// dataCentres has what hosts have told of their data centres.
+		dataCentres map[string]float64
+		want        map[string]float64
 	}{
-		{hosts, false, nil},
-		{hosts, true, map[string]float64{"dc0": 8, "dc1": 8}},
-		{hosts + 1, false, map[string]float64{"dc0": 8, "dc1": 10}},
+		{hosts, false, nil, nil},
+		{hosts, true, nil, map[string]float64{"dc0": 8, "dc1": 8}},
+		{hosts + 1, false, nil, map[string]float64{"dc0": 8, "dc1": 10}},
+		{hosts + 1, false, map[string]float64{"dc0": 3, "dc1": 5}, map[string]float64{"dc0": 8, "dc1": 5}},
 	} {
 		var list []descriptor.Host
 		told := make(map[string]float64)
@@ -38,6 +41,7 @@
 		e := &Entry{config: EntryConfig{Host: list[0], Pressure: c.pressure}}
 		service := xxhash.Sum64String("s")
 		e.members.callers = locator.View{}.WithMembers(descriptor.Members{Hosts: list})
+		e.members.told = map[uint64]map[string]float64{service: c.dataCentres}
 		e.members.demands = map[uint64]map[string]float64{service: told}
 		if diff := cmp.Diff(c.want, e.members.dataCentreDemands(e, service, now)); diff != "" {
 			t.Errorf("%d hosts, pressure %v: demands of data centres (-want +got):\n%s", c.hosts, c.pressure, diff)
--- a/entry_hosts.go
+++ b/entry_hosts.go
@@ -54,6 +54,9 @@
 	// telling is the number of hosts that accept requests and tell this one their loads and
 	// demands, this one included.
 	telling int
+	// told holds the requests a second that other data centres have told, by the hash of the
+	// service's name and by data centre.
+	told map[uint64]map[string]float64
 	// byDataCentre caches dataCentreDemands.
 	byDataCentre map[uint64]map[string]float64
 }
@@ -72,7 +75,7 @@
 		return
 	}
 	c.builtAt = now
-	c.byDataCentre = nil
+	c.told, c.byDataCentre = demandsByService(e.gossiper.DataCentreDemands()), nil
 	c.loads, c.demands = sumReports(e.gossiper.Loads(now))
 	var homes, callers []descriptor.Host
 	if !e.Stopping() {
--- a/forwarder/balance.go
+++ b/forwarder/balance.go
@@ -13,13 +13,13 @@
 	briefRequest = 300 * time.Millisecond
 	// localUtilisation is the utilisation up to which the upstreams of a data centre serve its
 	// own requests although others are less used: waits for a slot are rare.
-	localUtilisation = 0.3
+	localUtilisation = 0.2
 	// spreadFrom and spreadFull are the utilisations of all upstreams at which a data centre
 	// begins to spread requests over all others, and at which it spreads maxSpread of
 	// them. The demands that it knows are a few seconds old, and the busier the upstreams
 	// are, the longer are the waits that an error of the demands causes.
-	spreadFrom, spreadFull = 0.4, 0.7
-	maxSpread              = 0.5
+	spreadFrom, spreadFull = 0.5, 0.9
+	maxSpread              = 0.7
 )
 
 // dataCentreLoad is the demand and the capacity of a data centre, both as a number of slots.
--- a/forwarder/balance_fleet_test.go
+++ b/forwarder/balance_fleet_test.go
@@ -65,6 +65,8 @@
 	reportStep   = 150 * time.Millisecond
 	reportMinAge = 150 * time.Millisecond
 	reportAges   = 1050 * time.Millisecond
+	// farReportAges is the time between two reports of the demands of another data centre.
+	farReportAges = 7 * time.Second
 	// idleLimit is how long a host keeps an idle connection.
 	idleLimit = 4 * time.Second
 	// loadsKept is how long a host uses the sum of the reports before it sums again.
@@ -229,26 +231,32 @@
 		return h.loads
 	}
 	h.loads, h.loadedAt = make(map[uint64]UpstreamLoad), f.now
-	told := make(map[string]float64)
+	told, dataCentres := make(map[string]float64), make(map[string]float64)
 	for i, other := range f.members {
-		if i == host || other.dataCentre != h.dataCentre {
+		if i == host {
 			continue
 		}
-		offset := time.Duration(xxhash.Sum64String(other.id+h.id) % uint64(reportAges))
-		age := reportMinAge + (f.elapsed()+offset)%reportAges
-		if f.elapsed() < age {
+		if other.dataCentre != h.dataCentre {
+			dataCentres[other.dataCentre] += f.oldReport(other, h.id+other.dataCentre, farReportAges).perSecond
 			continue
 		}
-		report := other.reports[(f.elapsed()-age)/reportStep]
+		report := f.oldReport(other, h.id+other.id, reportAges)
 		told[other.id] = report.perSecond
 		for hash, l := range report.loads {
 			h.loads[hash] = h.loads[hash].With(l)
 		}
 	}
-	h.demands = SumDemands(told, f.hostList, descriptor.Host{ID: h.id, DataCentre: h.dataCentre})
+	h.demands = SumDemands(told, dataCentres, f.hostList, descriptor.Host{ID: h.id, DataCentre: h.dataCentre})
 	return h.loads
 }
 
+// oldReport returns a report of a host. Its age grows from reportMinAge by ages until the next
+// report arrives, at a time that depends on the key.
+func (f *balanceFleet) oldReport(from *simHost, key string, ages time.Duration) simReport {
+	age := reportMinAge + (f.elapsed()+time.Duration(xxhash.Sum64String(key)%uint64(ages)))%ages
+	return from.reports[max(0, f.elapsed()-age)/reportStep]
+}
+
 // send sends a request to the upstream that the host chooses.
 func (f *balanceFleet) send(host int, r descriptor.Request, tried map[string]bool) {
 	h := f.members[host]
--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -72,6 +72,8 @@
 	lag      time.Duration
 	// loads spreads the load reports.
 	loads loadReports
+	// far spreads the demands of data centres.
+	far farDemands
 }
 
 // NewDetector returns a Detector of the host that self describes, which knows no other
@@ -166,6 +168,7 @@
 	}
 	maps.DeleteFunc(d.configs, func(address string, _ int64) bool { return unknown(address) })
 	maps.DeleteFunc(d.unknownPings, func(address string, _ int) bool { return unknown(address) })
+	d.forgetDataCentres()
 }
 
 // TickInterval is the time between two calls of Tick.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -76,6 +76,13 @@
 	return g.detector.Loads(now)
 }
 
+// DataCentreDemands returns the demands of other data centres, as their hosts have told.
+func (g *Gossiper) DataCentreDemands() map[string][]*messenger.Demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.DataCentreDemands()
+}
+
 // NewestConfig returns the highest version of the configuration that another host has.
 func (g *Gossiper) NewestConfig() int64 {
 	g.mu.Lock()
--- a/gossiper/load.go
+++ b/gossiper/load.go
@@ -91,7 +91,7 @@
 		return nil
 	}
 	c.sentAt = now
-	hosts := d.reportReceivers()
+	hosts, others := d.reportReceivers()
 	if len(hosts) == 0 {
 		return nil
 	}
@@ -100,7 +100,7 @@
 		c.quietRounds = 0
 	}
 	if c.quietRounds > max(1, c.rounds) {
-		return nil
+		return d.quietReport(others, now)
 	}
 	c.number++
 	m := &messenger.Gossip{
@@ -109,17 +109,18 @@
 	}
 	fanout := min(len(hosts), ReportFanout, max(1, reportBytes/proto.Size(m)))
 	c.rounds = (len(hosts) + fanout - 1) / fanout
-	var out []Envelope
-	for range fanout {
+	out := d.farReport(others, now)
+	for range fanout - len(out) {
 		c.next = (c.next + 1) % len(hosts)
 		out = append(out, Envelope{To: hosts[c.next], Message: m})
 	}
 	return out
 }
 
-// reportReceivers returns the live hosts of this host's data centre. If these are fewer
-// than ReportFanout, hosts of other data centres are added.
-func (d *Detector) reportReceivers() []string {
+// reportReceivers returns the live hosts that get load reports: those of this host's data
+// centre, and some of other data centres if these are fewer than ReportFanout. The others get
+// none.
+func (d *Detector) reportReceivers() (receivers, others []string) {
 	var near, far []string
 	for _, m := range d.table.Live() {
 		if m.GetDatacentre() == d.self.GetDatacentre() {
@@ -128,8 +129,6 @@
 			far = append(far, m.GetAddress())
 		}
 	}
-	if missing := ReportFanout - len(near); missing > 0 {
-		near = append(near, far[:min(missing, len(far))]...)
-	}
-	return near
+	added := min(max(0, ReportFanout-len(near)), len(far))
+	return append(near, far[:added]...), far[added:]
 }
--- a/gossiper/receive.go
+++ b/gossiper/receive.go
@@ -10,6 +10,10 @@
 
 // Receive handles a datagram of another host and returns the answers.
 func (d *Detector) Receive(m *messenger.Gossip, now time.Time) []Envelope {
+	if isDataCentreReport(m) {
+		d.far.store(m)
+		return nil
+	}
 	sender := m.GetSender()
 	if sender.GetAddress() == "" || sender.GetAddress() == d.self.GetAddress() {
 		return nil
