--- a/counter/counter.go
+++ b/counter/counter.go
@@ -28,6 +28,9 @@
 	// Crashes counts reports of requests that upstreams ran when they ended. The keys are
 	// what happened to a report (CrashReport).
 	Crashes expvar.Map
+	// Choices counts the choices of upstreams, and refusals that show how good they are. The
+	// keys are of type Choice.
+	Choices expvar.Map
 
 	mu sync.Mutex
 	// times holds the durations of single requests in microseconds.
@@ -63,6 +66,20 @@
 	CrashWithdrawn CrashReport = "withdrawn" // an upstream answered the request later
 )
 
+// Choice is the metrics label for a choice of an upstream, or for what became of it.
+type Choice string
+
+// How upstreams are chosen, and what shows that the loads or demands were not known well.
+const (
+	ChoiceByCost       Choice = "cost"         // the least expected cost
+	ChoiceByDemand     Choice = "demand"       // in proportion to capacity and the demands of data centres
+	ChoiceRefused      Choice = "refused"      // the upstream did not run the request
+	ChoiceRefusedWhile Choice = "refused_free" // and another was believed to have a free slot
+)
+
+// Chosen counts a choice.
+func (s *Set) Chosen(c Choice) { s.Choices.Add(string(c), 1) }
+
 // Crash counts a report of a crash.
 func (s *Set) Crash(r CrashReport) { s.Crashes.Add(string(r), 1) }
 
@@ -190,6 +207,7 @@
 	host.Set("stages", &s.Stages)
 	host.Set("dropped", &s.Dropped)
 	host.Set("crashes", &s.Crashes)
+	host.Set("choices", &s.Choices)
 	host.Set("programs", s.Programs())
 	host.Set("times", s.Times())
 	_, err := fmt.Fprintf(w, "{%s: %s", strconv.Quote("citronpier"), host.String())
--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/limiter"
 	"github.com/citronpier/citronpier/placer"
@@ -69,6 +70,9 @@
 	// delay is how long the request has to wait before it is sent, as the upstream names a
 	// limit.
 	delay time.Duration
+	// method is how the upstream was chosen if this host does not hear the loads of all
+	// others, and empty if it does.
+	method counter.Choice
 }
 
 // choose returns the upstream with the lowest expected cost of the request; the cost
@@ -113,6 +117,7 @@
 		uncached: max(0, c.request.Prompt-best.Cached),
 		idle:     2*inFlight <= best.Upstream.Slots,
 		delay:    delays[best.Upstream.ID],
+		method:   methodOf(s, c),
 	}, true
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -64,6 +64,8 @@
 	runs int
 	// sends counts all attempts to send the request to an upstream.
 	sends int
+	// method is how the last upstream was chosen.
+	method counter.Choice
 	// tried has the ids of the upstreams that have failed or refused this request.
 	// These upstreams are not chosen again.
 	tried map[string]bool
@@ -148,6 +150,7 @@
 		if !e.awaitDelay(ctx, chosen) {
 			continue
 		}
+		e.countChoice(chosen)
 		response, err := e.sendTo(ctx, chosen, after, time.Now())
 		if err == nil {
 			return response, nil
@@ -221,6 +224,7 @@
 	case errors.As(err, &notRun):
 		event.Msg("upstream did not run the request")
 		e.config.Counters.Retried(counter.RetryRefused)
+		e.countRefusal(time.Now())
 		return nil
 	case errors.As(err, &unsent):
 		event.Msg("request not sent to upstream")
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -114,9 +114,12 @@
 
 // fixture is a Forwarder with a fake home and test upstreams.
 type fixture struct {
-	forwarder *forwarder.Forwarder
-	home      *fakeHome
-	isolator  *isolator.Isolator
+	// dataCentres has the demands of data centres if the load is balanced by them.
+	dataCentres map[string]float64
+	counters    counter.Set
+	forwarder   *forwarder.Forwarder
+	home        *fakeHome
+	isolator    *isolator.Isolator
 	// stopping makes the host stop at once.
 	stopping atomic.Bool
 	// dial opens connections to upstreams.
@@ -217,7 +220,9 @@
 	t.Helper()
 	f.forwarder = forwarder.New(forwarder.Config{
 		Isolator: f.isolator, ReportCrash: func(isolator.Report) {},
-		RemoteDemand:  func(string, time.Time) forwarder.RemoteDemand { return forwarder.RemoteDemand{Telling: 1, Hosts: 1} },
+		RemoteDemand: func(string, time.Time) forwarder.RemoteDemand {
+			return forwarder.RemoteDemand{Telling: 1, Hosts: 1, DataCentres: f.dataCentres}
+		},
 		Shards:        4,
 		Configuration: configuration,
 		Upstreams:     func() (watcher.List, bool) { return f.listed(), true },
@@ -228,7 +233,7 @@
 		Memory:        f.memory,
 		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
-		Counters:      &counter.Set{},
+		Counters:      &f.counters,
 		Logger:        zerolog.Nop(),
 		Background:    t.Context(),
 	})
