--- a/counter/counter.go
+++ b/counter/counter.go
@@ -36,6 +36,9 @@
 	// Admissions counts the decisions on turns while programs are admitted by load. The keys
 	// are the reasons of package admitter.
 	Admissions expvar.Map
+	// Choices counts the choices of upstreams, and refusals that show how good they are. The
+	// keys are of type Choice.
+	Choices expvar.Map
 
 	mu sync.Mutex
 	// times holds the durations of single requests in microseconds.
@@ -75,6 +78,20 @@
 // Admission counts a decision on a turn.
 func (s *Set) Admission(reason string) { s.Admissions.Add(reason, 1) }
 
+// Choice is the metrics label for a choice of an upstream, or for what became of it.
+type Choice string
+
+// How upstreams are chosen, and what shows that the loads or demands were not known well.
+const (
+	ChoiceByCost       Choice = "cost"         // the least expected cost
+	ChoiceByDemand     Choice = "demand"       // in proportion to capacity and the demands of data centres
+	ChoiceRefused      Choice = "refused"      // the upstream did not run the request
+	ChoiceRefusedWhile Choice = "refused_free" // and another was believed to have a free slot
+)
+
+// Chosen counts a choice.
+func (s *Set) Chosen(c Choice) { s.Choices.Add(string(c), 1) }
+
 // Crash counts a report of a crash.
 func (s *Set) Crash(r CrashReport) { s.Crashes.Add(string(r), 1) }
 
@@ -204,6 +221,7 @@
 	host.Set("crashes", &s.Crashes)
 	host.Set("admissions", &s.Admissions)
 	host.Set("memory", &s.Memory)
+	host.Set("choices", &s.Choices)
 	host.Set("programs", s.Programs())
 	host.Set("times", s.Times())
 	for name, read := range s.gauges {
--- a/entry_admission.go
+++ b/entry_admission.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/citronpier/citronpier/admitter"
-	"github.com/citronpier/citronpier/gossiper"
 )
 
 // admission is the admission of programs of a host. It starts inactive.
@@ -18,7 +17,7 @@
 // capacity, and in fleets in which a host does not hear all others.
 func (e *Entry) updateAdmission(now time.Time) {
 	hosts := len(e.callers(now).Live(now))
-	active := e.config.Contended || hosts > gossiper.ReportFanout+1
+	active := e.competes(hosts)
 	if e.admission.active.Swap(active) != active {
 		e.config.Logger.Info().Bool("active", active).Int("hosts", hosts).Msg("admission of programs by load")
 	}
--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/limiter"
 	"github.com/citronpier/citronpier/placer"
@@ -69,6 +70,9 @@
 	// delay is how long the request has to wait before it is sent, as the upstream names a
 	// limit.
 	delay time.Duration
+	// method is how the upstream was chosen if this host does not hear the loads of all
+	// others, and empty if it does.
+	method counter.Choice
 }
 
 // choose returns the upstream with the lowest expected cost of the request; the cost
@@ -78,15 +82,30 @@
 func (t *UpstreamTracker) choose(upstreams []descriptor.Upstream, c choiceInput, now time.Time) (choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.balances(upstreams, c) {
+		return t.chooseFrom(upstreams, nil, c, now)
+	}
+	s := t.splitFor(upstreams, c, now)
+	if short := t.shortlist(upstreams, s, c); len(short) < len(upstreams) {
+		if chosen, ok := t.chooseFrom(short, s, c, now); ok {
+			return chosen, true
+		}
+	}
+	return t.chooseFrom(upstreams, s, c, now)
+}
+
+// chooseFrom does what choose says. A split that is not nil divides requests by demand. The
+// caller must hold mu.
+func (t *UpstreamTracker) chooseFrom(upstreams []descriptor.Upstream, s split, c choiceInput, now time.Time) (choice, bool) {
 	demand := t.demandFor(upstreams, c.remoteDemand)
 	candidates, delays, shortestDelay := t.candidates(upstreams, c, demand, now)
-	best, ok := router.Choose(candidates, router.Request{
+	best, ok := t.best(s, candidates, c, router.Request{
 		Key:        c.request.ID,
 		Prompt:     c.request.Prompt,
 		DataCentre: c.dataCentre,
 		Prefill:    t.prefills[serviceOf(upstreams)].PerToken(),
 		Distance:   crossDataCentreCost,
-	})
+	}, now)
 	if !ok {
 		return choice{delay: shortestDelay}, false
 	}
@@ -98,9 +117,18 @@
 		uncached: max(0, c.request.Prompt-best.Cached),
 		idle:     2*inFlight <= best.Upstream.Slots,
 		delay:    delays[best.Upstream.ID],
+		method:   methodOf(s, c),
 	}, true
 }
 
+// best returns the candidate that is chosen. The caller must hold mu.
+func (t *UpstreamTracker) best(s split, candidates []router.Candidate, c choiceInput, r router.Request, now time.Time) (router.Candidate, bool) {
+	if s == nil {
+		return router.Choose(candidates, r)
+	}
+	return t.chooseBalanced(s, candidates, c, r, now)
+}
+
 // candidates returns the upstreams that may be chosen, and the delays of those that name a
 // limit, by id. shortestDelay is the shortest time in which one that takes no request in time
 // does, or 0. The caller must hold mu.
@@ -108,6 +136,7 @@
 	candidates []router.Candidate, delays map[string]time.Duration, shortestDelay time.Duration,
 ) {
 	holders := t.holdersOf(c, upstreams, now)
+	candidates = make([]router.Candidate, 0, len(upstreams))
 	for _, u := range upstreams {
 		if c.tried[u.ID] || t.stateOf(u).leftBefore(now.Add(-c.leavingGrace)) {
 			continue
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -116,9 +116,12 @@
 
 // fixture is a Forwarder with a fake home and test upstreams.
 type fixture struct {
-	forwarder *forwarder.Forwarder
-	home      *fakeHome
-	isolator  *isolator.Isolator
+	// dataCentres has the demands of data centres if the load is balanced by them.
+	dataCentres map[string]float64
+	counters    counter.Set
+	forwarder   *forwarder.Forwarder
+	home        *fakeHome
+	isolator    *isolator.Isolator
 	// allowances grants credits; nil if limits are not kept.
 	allowances forwarder.Allowances
 	// homes replaces home unless it is nil, and configurationAge returns the age of the
@@ -236,7 +239,9 @@
 	f.forwarder = forwarder.New(forwarder.Config{
 		ConfigurationAge: f.configurationAge, Authentication: authenticator.Policy{Revocation: 5 * time.Second},
 		Isolator: f.isolator, ReportCrash: func(isolator.Report) {},
-		RemoteDemand:  func(string, time.Time) forwarder.RemoteDemand { return forwarder.RemoteDemand{Telling: 1, Hosts: 1} },
+		RemoteDemand: func(string, time.Time) forwarder.RemoteDemand {
+			return forwarder.RemoteDemand{Telling: 1, Hosts: 1, DataCentres: f.dataCentres}
+		},
 		Allowances:    f.allowances,
 		Shards:        4,
 		Configuration: configuration,
@@ -250,7 +255,7 @@
 		LargeTurns:    f.largeTurns,
 		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
-		Counters:      &counter.Set{},
+		Counters:      &f.counters,
 		Logger:        zerolog.Nop(),
 		Background:    t.Context(),
 	})
