Log what refused keys and limits were decided from only with the refusal

The age of the configuration was read for the log line of each request with a key. Now only lines of 401, 429 and 503 stale have it. A test checks the lines and that a caller can't fill the log with them.

--- a/forwarder/allowance.go
+++ b/forwarder/allowance.go
@@ -82,6 +82,17 @@
 	return &f.config.Logger
 }
 
+// withDenial adds to a log event what a refused key or an exceeded limit was decided from.
+func (e *exchange) withDenial(event *zerolog.Event, reason refuser.Reason) *zerolog.Event {
+	if e.authenticated && (reason == refuser.Key || reason == refuser.Rate || reason == refuser.Stale) {
+		event = event.Dur("config_age_ms", e.config.configurationAge())
+	}
+	if e.allowance.state != "" {
+		event = event.Str("allowance", e.allowance.state).Dur("allowance_age_ms", e.allowance.age)
+	}
+	return event
+}
+
 // spentAllowance is the credit that a request has spent.
 type spentAllowance struct {
 	taken  bool
--- a/forwarder/allowance_test.go
+++ b/forwarder/allowance_test.go
@@ -1,14 +1,17 @@
 package forwarder_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/forwarder"
@@ -256,3 +259,36 @@
 		})
 	}
 }
+
+// TestLinesOfDeniedRequests guards against log lines that lack what a refusal was decided from, and
+// against a caller that fills the log with refused requests.
+func TestLinesOfDeniedRequests(t *testing.T) {
+	f := newFixture()
+	var log bytes.Buffer
+	f.logger = zerolog.New(&log)
+	f.allowances = &fakeAllowances{decision: forwarder.AllowanceExceeded{Retry: time.Second, Age: 40 * time.Millisecond}}
+	f.configurationAge = func() time.Duration { return 70 * time.Millisecond }
+	f.startOrganisations(t, descriptor.Once{}, f.startUpstream(t, "u", answerOK))
+	f.serve(t, withKey(request(), "a"))
+	f.serve(t, withKey(request(), "other"))
+	lines := strings.SplitAfter(log.String(), "\n")
+	limited := fmt.Sprintf(`"key":%q`, descriptor.NewKeyDigest("key-a").Short())
+	for i, want := range [][]string{
+		{`"reason":"rate"`, `"allowance":"exceeded"`, `"allowance_age_ms":40`, `"config_age_ms":70`, limited},
+		{`"reason":"key"`, `"config_age_ms":70`, `"key":`},
+	} {
+		for _, part := range want {
+			if !strings.Contains(lines[i], part) {
+				t.Errorf("line %q lacks %s", lines[i], part)
+			}
+		}
+	}
+	log.Reset()
+	const requests = 100
+	for range requests {
+		f.serve(t, withKey(request(), "a"))
+	}
+	if n := strings.Count(log.String(), "\n"); n > requests/2 {
+		t.Errorf("%d lines for %d requests", n, requests)
+	}
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -101,11 +101,7 @@
 	event = event.Str("id", e.request.ID).Str("fingerprint", string(e.fingerprint)).Str("route", e.route.Name).Int64("config", e.version).
 		Dur("took_ms", now.Sub(e.began)).Int("sends", e.sends)
 	if e.authenticated {
-		event = event.Str("organisation", e.organisation.Name).Str("key", e.request.Key.Short()).
-			Dur("config_age_ms", e.config.configurationAge())
-	}
-	if e.allowance.state != "" {
-		event = event.Str("allowance", e.allowance.state).Dur("allowance_age_ms", e.allowance.age)
+		event = event.Str("organisation", e.organisation.Name).Str("key", e.request.Key.Short())
 	}
 	if e.request.Program != "" {
 		event = event.Str("program", e.request.Program).Str("session", e.request.Session)
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -124,6 +124,8 @@
 	// configuration; nil if it is always the newest.
 	homes            forwarder.HomeClient
 	configurationAge func() time.Duration
+	// logger logs the requests; it logs nothing by default.
+	logger zerolog.Logger
 	// stopping makes the host stop at once.
 	stopping atomic.Bool
 	// dial opens connections to upstreams.
@@ -195,6 +197,7 @@
 	home := &fakeHome{verdict: messenger.BeginReply_RESERVED, bound: make(chan *messenger.BindRequest, maxBound)}
 	return &fixture{
 		home: home, listeners: make(map[string]net.Listener), dial: exchanger.NewDial(exchanger.UnackedUpstream),
+		logger:   zerolog.Nop(),
 		isolator: isolator.New(isolator.Policy{Crashes: 3, Overlapping: 2, Quarantine: time.Minute}),
 	}
 }
@@ -242,7 +245,7 @@
 		Exchanger:     exchanger.New(codec{}, f.dial).WithMemory(f.memory),
 		Tracker:       &forwarder.UpstreamTracker{},
 		Counters:      &counter.Set{},
-		Logger:        zerolog.Nop(),
+		Logger:        f.logger,
 		Background:    t.Context(),
 	})
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -227,6 +227,7 @@
 		f.config.Counters.Measured(counter.MeasureRefuse, now.Sub(e.began))
 		event = event.Str("outcome", "refused").Str("reason", string(o.Refusal.Reason)).
 			Str("run", string(o.Refusal.Run)).Dur("retry_ms", o.Refusal.Retry).Str("detail", o.Refusal.Message)
+		event = e.withDenial(event, o.Refusal.Reason)
 	case Cut:
 		f.config.Counters.Refused(o.Refusal.Reason)
 		event = event.Str("outcome", "cut").Str("reason", string(o.Refusal.Reason)).Str("detail", o.Refusal.Message)
