Run programs that start in an outage under a recorded permit

Programs that started while the store was unavailable were refused from their second turn on ("earlier turns of the program are not recorded yet"): without a record a home may run one turn only, since a later home would not know of more.

A home now records a permit with its first append to a shard: an allowance without a program, whose amount is a share of each budget in per cent (25, at most 50 over all open permits of a shard). It covers turns of programs that no record names, while an append has been under way for 100 ms. A later home counts the share as spent for each program, unless a record named the program before the permit, or its writer has recorded an allowance for it. That allowance is at least the share, so that it makes no difference whether an append under way is lost, repeated or late.

Any record of another home ends the use of a permit, and so does 20 s without knowledge of the partition's end. A home closes its permit when it stops or the shard moves, after all that is unrecorded; a later home closes that of a lost one 40 s and twice the longest retention after its own first append. Permits are written again before the store drops them.

Also: an allowance is given back only after settlements that wait for the next append. TestTurnRunsWithoutReservationAfterRepeatedBegin leaves a home with an open permit behind; its budget is now one turn beside that share, and the verdicts stay the same.

--- a/keeper/change.go
+++ b/keeper/change.go
@@ -147,7 +147,9 @@
 			Program: c.program, Turn: k.turn, Generated: k.generated,
 		})
 	case allowanceChange:
-		b.Allowances = append(b.Allowances, &recorder.Allowance{Program: c.program, Amount: k.amount})
+		b.Allowances = append(b.Allowances, &recorder.Allowance{Program: c.program, Amount: s.recordedAllowance(c.program, k.amount)})
+	case permitChange:
+		s.addPermit(to, k)
 	case bindingChange:
 		b.Bindings = append(b.Bindings, &recorder.Binding{
 			Attempt: k.attempt, Service: k.build.Service, Version: k.build.Version, Retention: k.retention,
--- a/keeper/reservation.go
+++ b/keeper/reservation.go
@@ -68,8 +68,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(minRecordWait, waitLimit(r, maxRecordWait)))
 	defer cancel()
+	usePermit := s.takesNoAppends(now)
 	for {
-		verdict, pending, err := s.reserve(r, now)
+		verdict, pending, err := s.reserve(r, usePermit, time.Now())
 		var full *QueueFullError
 		if errors.As(err, &full) {
 			s.withdraw(r)
@@ -83,13 +84,17 @@
 				Int64("most", r.GetMost()).Int64("budget", r.GetBudget()).Msg("budget exceeded")
 			return &messenger.BeginReply{Verdict: messenger.BeginReply_EXCEEDED}
 		case budgeter.RecordFirst:
+			if !usePermit {
+				usePermit = !k.awaitBriefly(ctx, pending)
+				continue
+			}
 			if !k.awaitChange(ctx, pending) {
 				return &messenger.BeginReply{
 					Verdict: messenger.BeginReply_UNCERTAIN, Detail: "earlier turns of the program are not recorded yet",
 				}
 			}
 		default:
-			if pending != nil && !k.awaitChange(ctx, pending) {
+			if pending != nil && !k.awaitReservation(ctx, s, r, pending) {
 				s.withdraw(r)
 				return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the reservation is not recorded yet"}
 			}
@@ -98,6 +103,25 @@
 	}
 }
 
+// awaitReservation waits until a turn's reservation is in the store, or the store takes no
+// appends and the permit covers the turn.
+func (k *Keeper) awaitReservation(ctx context.Context, s *shard, r *messenger.BeginRequest, c *change) bool {
+	if k.awaitBriefly(ctx, c) {
+		return true
+	}
+	if !c.isComplete() && s.coverByPermit(r.GetProgram(), r.GetTurn(), time.Now()) {
+		return true
+	}
+	return k.awaitChange(ctx, c)
+}
+
+// awaitBriefly does what awaitChange does, for at most permitDelay.
+func (k *Keeper) awaitBriefly(ctx context.Context, c *change) bool {
+	ctx, cancel := context.WithTimeout(ctx, permitDelay)
+	defer cancel()
+	return k.awaitChange(ctx, c)
+}
+
 // awaitChange waits until a change is in the store. It returns false if the append
 // failed or ctx ended first. If c is nil, there is no change to wait for: awaitChange
 // then pauses briefly, so that the caller does not retry in a busy loop.
--- a/keeper/reserve.go
+++ b/keeper/reserve.go
@@ -15,8 +15,9 @@
 // one, and tries again. If it is EscrowReserved, the turn may run once the returned
 // change, if there is one, is in the store: a turn that no record and no allowance
 // covers is run by the first home of a shard only, because each home that dies may
-// leave one.
-func (s *shard) reserve(r *messenger.BeginRequest, now time.Time) (budgeter.Verdict, *change, error) {
+// leave one. With usePermit the home's permit covers turns as an allowance does, if no record
+// names the program.
+func (s *shard) reserve(r *messenger.BeginRequest, usePermit bool, now time.Time) (budgeter.Verdict, *change, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(r.GetProgram(), time.Duration(r.GetRetention())*time.Millisecond, now)
@@ -31,6 +32,12 @@
 		err := s.hold(r.GetProgram(), a, res)
 		return budgeter.EscrowReserved{}, s.changeBeforeRun(res), err
 	}
+	s.requestPermit(now)
+	a.escrow.Permit = 0
+	if usePermit {
+		a.escrow.Permit = s.permitFor(a, now)
+	}
+	permit := a.escrow.Permit
 	escrow, verdict := a.escrow.WithReservation(r.GetMost())
 	switch v := verdict.(type) {
 	case budgeter.RecordFirst:
@@ -40,6 +47,9 @@
 		a.escrow = escrow
 		res := &reservation{maxTokens: r.GetMost(), claims: 1}
 		a.reservations[r.GetTurn()] = res
+		if permit > 0 && v.RecordNow && (v.UnderPermit || !s.hadOtherWriter) {
+			s.usePermit(a, res, permit)
+		}
 		if v.RecordNow {
 			_, err := s.recordReservations(r.GetProgram(), a)
 			return v, s.changeBeforeRun(res), err
@@ -53,11 +63,11 @@
 // withdraw. The caller holds mu.
 func (s *shard) hold(program string, a *account, res *reservation) error {
 	if !res.held() {
-		res.recorded = false
+		res.recorded, res.permitted = false, false
 		a.escrow.Unrecorded += res.maxTokens
 	}
 	res.claims++
-	if res.recorded || !s.hadOtherWriter {
+	if res.recorded || res.permitted || !s.hadOtherWriter {
 		return nil
 	}
 	_, err := s.enqueueReservations(program, a)
@@ -100,7 +110,7 @@
 // changeBeforeRun returns the queued record of a reservation if it has to be in the store
 // before the turn runs, and nil otherwise. The caller holds mu.
 func (s *shard) changeBeforeRun(res *reservation) *change {
-	if !s.hadOtherWriter {
+	if !s.hadOtherWriter || res.permitted {
 		return nil
 	}
 	return res.change
@@ -183,10 +193,13 @@
 	s.deferred = append(s.deferred, newChange(r.GetProgram(), settlementChange{turn: r.GetTurn(), generated: r.GetGenerated()}))
 }
 
-// releaseAllowances gives back the allowances of this home.
-func (s *shard) releaseAllowances() {
+// releaseAllowances gives back the allowances of this home and closes its permit.
+func (s *shard) releaseAllowances(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.releasePermit(now); err != nil {
+		s.logger.Warn().Err(err).Msg("permit not closed")
+	}
 	for program, a := range s.accounts {
 		if a.requestedAllowance == 0 {
 			continue
@@ -197,13 +210,14 @@
 	}
 }
 
-// releaseAllowance gives back this home's allowance for a program. Open reservations that it
-// covered until now are recorded first. From now on the allowance covers no further turn,
+// releaseAllowance gives back this home's allowance for a program. Everything that it
+// covered until now is recorded first. From now on the allowance covers no further turn,
 // although the record that gives it back is not in the store yet. The caller holds mu.
 func (s *shard) releaseAllowance(program string, a *account) error {
 	a.requestedAllowance = 0
 	a.escrow.Allowance = 0
-	if _, err := s.enqueueReservations(program, a); err != nil {
+	a.permitted = 0
+	if err := s.enqueueUnrecorded(program, a); err != nil {
 		return err
 	}
 	return s.enqueue(newChange(program, allowanceChange{}))
