--- a/budgeter/escrow.go
+++ b/budgeter/escrow.go
@@ -2,9 +2,9 @@
 
 // Escrow is the view that one home has of a program's budget. All amounts are in
 // tokens. A home reserves tokens in three ways: by a reservation recorded in the
-// store, without a record up to its recorded allowance, and for at most one further
-// turn whose record is still being written. The allowances of other homes count as
-// spent, since a home that crashed can't tell how much of its allowance it used. So
+// store, without a record up to its recorded allowance or permit, and for at most one further
+// turn whose record is still being written. The allowances and permits of other homes count
+// as spent, since a home that crashed can't tell how much of them it used. So
 // a program generates at most its budget and one further turn.
 type Escrow struct {
 	// Budget is the maximum that the program may generate in total.
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -45,8 +45,8 @@
 }
 
 // allowanceChange sets the allowance of this home for a program: the number of
-// tokens that the home may reserve before the reservations are recorded. 0 gives
-// the allowance back.
+// tokens that the home may reserve before the reservations are recorded. More is recorded
+// if the home's permit covers more. 0 gives the allowance back.
 type allowanceChange struct{ amount int64 }
 
 // rewriteTurnChange writes a turn again before the store drops its older record.
--- a/keeper/permit.go
+++ b/keeper/permit.go
@@ -20,9 +20,12 @@
 	// the end of the partition. Another home's record ends the use, and a home that can't read
 	// it stops after this time.
 	permitValidity = 20 * time.Second
-	// permitRetry is the time until a permit is recorded again after another home has written,
-	// or after it was closed or refused.
+	// permitRetry is the time until a permit is recorded again after it was closed, or other
+	// permits left no share for it. A host that stops does not open it again.
 	permitRetry = time.Minute
+	// supersededRetry is the same after another home has written: the previous home writes its
+	// last records soon after the shard has moved.
+	supersededRetry = 5 * time.Second
 	// clockMargin is how much longer than permitValidity a later home waits, in multiples of it.
 	clockMargin = 2
 )
@@ -212,8 +215,8 @@
 		return
 	}
 	s.permit.valid = false
-	s.permit.notBefore = now.Add(permitRetry)
-	s.logger.Info().Msg("another home has written, permit not used any more")
+	s.permit.notBefore = now.Add(supersededRetry)
+	s.logger.Info().Msg("another home has written, permit not used until it is recorded again")
 }
 
 // tendPermits closes permits of earlier homes that are no longer in use, and writes the others
--- a/keeper/permit_test.go
+++ b/keeper/permit_test.go
@@ -83,3 +83,128 @@
 	}
 	time.Sleep(time.Second)
 }
+
+// startTickingHome starts a home whose Tick is called each second until ctx ends.
+func (f *fixture) startTickingHome(ctx context.Context, name string) *keeper.Keeper {
+	k := f.startRewritingHome(ctx, name)
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(time.Second)
+			k.Tick(time.Now())
+		}
+	}()
+	return k
+}
+
+// leavePermit starts a home that records its permit, and ends its process.
+func (f *fixture) leavePermit(ctx context.Context, retention time.Duration) {
+	dying, kill := context.WithCancel(ctx)
+	r := beginRequest("q", "")
+	r.Program, r.Retain, r.Retention = "q", false, retention.Milliseconds()
+	f.startRewritingHome(dying, "lost").Begin(ctx, r, time.Now())
+	synctest.Wait()
+	kill()
+}
+
+// A home spends its permit on a program that no record names, and dies in the outage.
+func TestShareOfLostPermitHandedOutAgain(t *testing.T) {
+	const budget = 8 * maxTokens
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		outageTurn(ctx, f.startHome(ctx, "earlier"), "e", "e", budget)
+		f.releaseHomes()
+		dying, kill := context.WithCancel(ctx)
+		home := f.startHome(dying, "home")
+		outageTurn(ctx, home, "q", "q", budget)
+		synctest.Wait()
+		f.store.SetFault(loseCalls)
+		ran := 0
+		for outageTurn(ctx, home, "p", fmt.Sprint("p", ran), budget) == "RESERVED" {
+			ran++
+		}
+		kill()
+		f.store.SetFault(nil)
+		got := []any{ran, tokensLeft(ctx, f.startHome(ctx, "next"), budget)}
+		if diff := cmp.Diff([]any{6, int64(budget * 3 / 4)}, got); diff != "" {
+			t.Errorf("turns in the outage, tokens left (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A later home does not count a permit for programs that were named before it was recorded.
+func TestPermitUsedForProgramThatARecordNames(t *testing.T) {
+	const budget = 8 * maxTokens
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		outageTurn(ctx, f.startHome(ctx, "earlier"), "p", "p", budget)
+		f.releaseHomes()
+		home := f.startHome(ctx, "home")
+		outageTurn(ctx, home, "q", "q", budget)
+		synctest.Wait()
+		f.store.SetFault(loseCalls)
+		got := []string{outageTurn(ctx, home, "p", "named", budget), outageTurn(ctx, home, "n", "new", budget)}
+		if diff := cmp.Diff([]string{"UNCERTAIN", "RESERVED"}, got); diff != "" {
+			t.Errorf("verdicts (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A home that is paused for longer than its permit is valid wakes up in an outage, and a later
+// home has closed the permit.
+func TestPermitUsedAfterALongPause(t *testing.T) {
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		outageTurn(ctx, f.startHome(ctx, "earlier"), "e", "e", 8*maxTokens)
+		f.releaseHomes()
+		home := f.startHome(ctx, "home")
+		outageTurn(ctx, home, "q", "q", 8*maxTokens)
+		time.Sleep(30 * time.Second)
+		f.store.SetFault(loseCalls)
+		if diff := cmp.Diff("UNCERTAIN", outageTurn(ctx, home, "p", "p", 8*maxTokens)); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// The share of a permit is missing for new programs for ever, or is handed out too early.
+func TestPermitOfLostHomeIsClosedInTime(t *testing.T) {
+	const budget = 40
+	for _, c := range []struct {
+		name                string
+		after, keptAccounts time.Duration
+		want                int64
+	}{
+		{"before the accounts are forgotten", 100 * time.Second, time.Minute, budget * 3 / 4},
+		{"after the accounts are forgotten", 200 * time.Second, time.Minute, budget},
+		{"written again before the store drops it", 3 * storeRetention, time.Hour, budget * 3 / 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+				living, stop := context.WithCancel(ctx)
+				go f.expireUntil(partitions[0], time.Now().Add(c.after))
+				f.leavePermit(ctx, c.keptAccounts)
+				home := f.startTickingHome(living, "home")
+				r := beginRequest("h", "")
+				r.Program, r.Retain, r.Retention = "h", false, c.keptAccounts.Milliseconds()
+				home.Begin(ctx, r, time.Now())
+				time.Sleep(c.after)
+				home.Release()
+				time.Sleep(time.Second)
+				stop()
+				got := tokensLeft(ctx, f.startRewritingHome(ctx, "next"), budget)
+				if diff := cmp.Diff(c.want, got); diff != "" {
+					t.Errorf("tokens left of a new program (-want +got):\n%s", diff)
+				}
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+func TestPermitLeftOpenByPlannedStop(t *testing.T) {
+	const budget = 40
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		outageTurn(ctx, f.startHome(ctx, "home"), "q", "q", budget)
+		f.releaseHomes()
+		if diff := cmp.Diff(int64(budget), tokensLeft(ctx, f.startHome(ctx, "next"), budget)); diff != "" {
+			t.Errorf("tokens left of a new program (-want +got):\n%s", diff)
+		}
+	})
+}
