--- a/keeper/permit_test.go
+++ b/keeper/permit_test.go
@@ -208,3 +208,28 @@
 		}
 	})
 }
+
+// A home reads another home's permit after a program has begun that no record names yet.
+func TestPermitThatIsReadLateIsNotCounted(t *testing.T) {
+	const budget = 40
+	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+		outageTurn(ctx, f.startHome(ctx, "earlier"), "e", "e", budget)
+		f.releaseHomes()
+		home := f.startHome(ctx, "home")
+		f.store.SetFault(refuseAppends)
+		outageTurn(ctx, home, "p", "p", budget)
+		f.store.SetFault(func(c standin.Call) standin.Effect {
+			if c.Append && c.Host == "home" {
+				return standin.Refuse
+			}
+			return standin.Done
+		})
+		outageTurn(ctx, f.startHome(ctx, "other"), "q", "q", budget)
+		synctest.Wait()
+		f.store.SetFault(nil)
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(int64(budget*3/4), tokensLeft(ctx, home, budget)); diff != "" {
+			t.Errorf("tokens left (-want +got):\n%s", diff)
+		}
+	})
+}
