Grant organisations that are always at their limit a part of the burst in each window

Change: a home that has granted alone for a whole window counts what it has granted in it, keeps the allowance of the window (rate x window + burst), and fills its bucket faster by half of the burst in a window. The overdraft of running programs is a part of the constant slack only.

--- a/granter/home.go
+++ b/granter/home.go
@@ -68,13 +68,18 @@
 // Home is the bucket of one organisation at its home. The zero value has granted nothing. It is
 // not safe for concurrent use.
 type Home struct {
-	terms    Terms
-	bucket   bucket
-	level    float64
-	at       time.Duration
-	since    time.Duration
-	begun    bool
-	away     bool
+	terms  Terms
+	bucket bucket
+	level  float64
+	at     time.Duration
+	since  time.Duration
+	begun  bool
+	away   bool
+	// leads is true while no other host grants the full rate, which is so since alone.
+	leads bool
+	alone time.Duration
+	// recent counts the credits granted in the last window.
+	recent   recent
 	holds    map[string]hold
 	programs programs
 }
@@ -117,14 +122,9 @@
 	}
 	h.away = !s.Home
 	h.terms = t
-	b := t.full()
-	if !h.established(s, now) {
-		b = t.reduced(s.share(h.followers(s, now)))
-		if h.bucket == t.full() {
-			h.level = min(h.level, b.capacity)
-		}
-	}
+	b := h.nextBucket(t, s, now)
 	h.bucket = b
+	h.recent.advance(t.Window, now)
 	start := b.capacity
 	if !s.Home {
 		start = t.start()
@@ -134,6 +134,57 @@
 	h.programs.tick(t, b.perSecond, now)
 }
 
+// nextBucket returns the bucket from now on.
+func (h *Home) nextBucket(t Terms, s Standing, now time.Duration) bucket {
+	established := h.established(s, now)
+	switch {
+	case !established:
+		b := t.reduced(s.share(h.followers(s, now)))
+		if h.leads {
+			h.level = min(h.level, b.capacity)
+		}
+		h.leads = false
+		return b
+	case !h.leads:
+		h.leads, h.alone = true, now
+	}
+	if h.steady(now) {
+		return t.sustained()
+	}
+	return t.full()
+}
+
+// steady reports whether this home alone has granted credits for a whole window, so that it
+// knows all that were granted in it.
+func (h *Home) steady(now time.Duration) bool {
+	return h.leads && now-h.alone >= h.terms.Window
+}
+
+// available returns the credits that may be granted now. A steady home also keeps what an
+// organisation sends in a window within its allowance for the window.
+func (h *Home) available() float64 {
+	if !h.steady(h.at) {
+		return h.level
+	}
+	return min(h.level, h.terms.allowance()-float64(h.recent.sum))
+}
+
+// take takes credits out of the bucket.
+func (h *Home) take(credits int) {
+	h.level -= float64(credits)
+	h.recent.add(credits)
+}
+
+// until returns how long it takes until a number of credits is available.
+func (h *Home) until(target float64) time.Duration {
+	wait := h.bucket.until(h.level, target)
+	if !h.steady(h.at) {
+		return wait
+	}
+	missing := target - (h.terms.allowance() - float64(h.recent.sum))
+	return max(wait, h.recent.until(missing, h.terms.Window))
+}
+
 // begin starts the bucket of a home.
 func (h *Home) begin(t Terms, since time.Duration) {
 	h.begun, h.since, h.at = true, since, since
@@ -198,7 +249,7 @@
 }
 
 // short reports whether the bucket is so low that programs need credit to begin.
-func (h *Home) short() bool { return h.level < shortFraction*h.bucket.capacity }
+func (h *Home) short() bool { return h.available() < shortFraction*h.bucket.capacity }
 
 // reserve returns the credits that are kept for programs that have begun.
 func (h *Home) reserve() float64 {
@@ -211,7 +262,7 @@
 // overdraft returns how far requests of running programs may overdraw the bucket now. A home
 // allows it once a window has passed in which no other home can have allowed it.
 func (h *Home) overdraft() float64 {
-	if h.away || h.Reduced() || h.at-h.since < h.terms.Window {
+	if !h.steady(h.at) {
 		return 0
 	}
 	return h.terms.overdraft()
@@ -220,12 +271,12 @@
 // grantContinuing grants credits for requests of running programs.
 func (h *Home) grantContinuing(waiting int, g *Grant) {
 	overdraft := h.overdraft()
-	n := min(waiting, max(0, int(math.Floor(h.level+overdraft))))
-	h.level -= float64(n)
+	n := min(waiting, max(0, int(math.Floor(h.available()+overdraft))))
+	h.take(n)
 	g.Credits = n
 	if n < waiting {
 		h.programs.overdraw(waiting - n)
-		g.Retry[Continuing] = h.retry(h.bucket.until(h.level, 1-overdraft))
+		g.Retry[Continuing] = h.retry(h.until(1 - overdraft))
 	}
 }
 
@@ -233,12 +284,12 @@
 func (h *Home) grantNew(waiting int, kind Kind, g *Grant) {
 	for range waiting {
 		needed := min(h.bucket.capacity, 1+h.reserve())
-		if h.level < needed || !h.programs.mayBegin(kind, h.short()) {
-			g.Retry[kind] = h.retry(max(h.bucket.until(h.level, needed), h.programs.wait(kind)))
+		if h.available() < needed || !h.programs.mayBegin(kind, h.short()) {
+			g.Retry[kind] = h.retry(max(h.until(needed), h.programs.wait(kind)))
 			g.Short = true
 			return
 		}
-		h.level--
+		h.take(1)
 		h.programs.begin(kind)
 		g.Beginnings++
 	}
@@ -258,8 +309,8 @@
 		return 0
 	}
 	room := math.Floor(heldFraction*h.terms.slack()) - float64(h.Held(now))
-	spare := math.Floor(advanceFraction * (h.level - h.reserve()))
+	spare := math.Floor(advanceFraction * (h.available() - h.reserve()))
 	n := max(0, min(c.Wanted, int(room), int(spare)))
-	h.level -= float64(n)
+	h.take(n)
 	return n
 }
--- a/granter/terms.go
+++ b/granter/terms.go
@@ -10,10 +10,13 @@
 	// leastFraction of the slack is the least capacity of a bucket. Of requests that arrive at
 	// random below the rate, a bucket with a smaller burst would refuse many.
 	leastFraction = 0.125
-	// overdraftFraction of the slack is what requests of running programs may take beyond an
-	// empty bucket, which its rate then repays. A program that sends more than the rate for a
-	// second or two ends in time that way.
+	// overdraftFraction of Terms.Slack is what requests of running programs may take beyond an
+	// empty bucket, which its rate then repays. A program of an organisation with a small rate,
+	// which sends more for a second or two, ends in time that way.
 	overdraftFraction = 0.35
+	// sustainedFraction of the burst is granted anew in each window to an organisation that
+	// always sends as much as it may.
+	sustainedFraction = 0.5
 	// reducedFraction of the slack is what all homes without a majority grant together in
 	// a window, and reducedRate the part of the rate that they grant at most.
 	reducedFraction = 0.35
@@ -38,12 +41,15 @@
 
 // Limit returns the number of requests that hosts may send in a window.
 func (t Terms) Limit() float64 {
-	return t.PerSecond*t.Window.Seconds() + t.Burst + t.slack()
+	return t.allowance() + t.slack()
 }
 
+// allowance returns the requests in a window that are allowed without tolerance.
+func (t Terms) allowance() float64 { return t.PerSecond*t.Window.Seconds() + t.Burst }
+
 // slack returns the requests in a window that are tolerated beyond the allowance.
 func (t Terms) slack() float64 {
-	return t.Excess*(t.PerSecond*t.Window.Seconds()+t.Burst) + t.Slack
+	return t.Excess*t.allowance() + t.Slack
 }
 
 // lowerThan reports whether t allows less than other.
@@ -59,8 +65,18 @@
 	return bucket{perSecond: t.PerSecond, capacity: max(1, t.Burst, leastFraction*t.slack())}
 }
 
+// sustained returns the bucket of a home that keeps the allowance of each window. An
+// organisation that always sends as much as it may gets a part of the burst in each window.
+func (t Terms) sustained() bucket {
+	b := t.full()
+	if t.Window > 0 {
+		b.perSecond += sustainedFraction * t.Burst / t.Window.Seconds()
+	}
+	return b
+}
+
 // overdraft returns how far requests of running programs may overdraw the bucket.
-func (t Terms) overdraft() float64 { return overdraftFraction * t.slack() }
+func (t Terms) overdraft() float64 { return overdraftFraction * t.Slack }
 
 // reduced returns the bucket of a home that a share of the hosts follows, while the others may
 // follow another one.
