--- a/entry_allowances.go
+++ b/entry_allowances.go
@@ -76,8 +76,8 @@
 	// pools holds the credits of this host, and homes the buckets, by organisation.
 	pools map[string]*allowancePool
 	homes map[string]*granter.Home
-	// couriers call the homes, by host id.
-	couriers map[string]*courier
+	// batchers call the homes, by host id.
+	batchers map[string]*homeBatcher
 	// number is that of the last call.
 	number int64
 	// suspects and relaySuspects hold until when hosts are avoided.
@@ -104,7 +104,7 @@
 	}
 	return &allowances{
 		config: c, pools: make(map[string]*allowancePool), homes: make(map[string]*granter.Home),
-		couriers: make(map[string]*courier),
+		batchers: make(map[string]*homeBatcher),
 		suspects: make(map[string]time.Time), relaySuspects: make(map[string]time.Time),
 	}
 }
--- a/entry_allowances_call.go
+++ b/entry_allowances_call.go
@@ -9,9 +9,9 @@
 	"github.com/citronpier/citronpier/messenger"
 )
 
-// courier calls one home. At most one call is in flight; what is asked for meanwhile is asked
+// homeBatcher calls one home. At most one call is in flight; what is asked for meanwhile is asked
 // for together in the next one.
-type courier struct {
+type homeBatcher struct {
 	home descriptor.Host
 	// forced is true if this is not the home in the host's view, but the next host.
 	forced bool
@@ -21,7 +21,7 @@
 	next    *round
 }
 
-// round is what the next call of a courier asks for.
+// round is what the next call of a homeBatcher asks for.
 type round struct {
 	claims map[string]waitingRequests
 	// answered is closed when the call has ended.
@@ -39,9 +39,9 @@
 // organisation.
 func organisationKey(name string) string { return "organisation/" + name }
 
-// target returns the courier of the host to ask, or nil if no host is known. The caller must
+// target returns the homeBatcher of the host to ask, or nil if no host is known. The caller must
 // hold mu.
-func (a *allowances) target(name string, now time.Time) *courier {
+func (a *allowances) target(name string, now time.Time) *homeBatcher {
 	view := a.config.Hosts(now)
 	first, ok := view.Home(organisationKey(name), now)
 	if !ok {
@@ -58,10 +58,10 @@
 	if len(a.suspects) > 0 {
 		home, _ = view.Home(organisationKey(name), now)
 	}
-	c, ok := a.couriers[home.ID]
+	c, ok := a.batchers[home.ID]
 	if !ok || c.home != home {
-		c = &courier{home: home, next: newRound()}
-		a.couriers[home.ID] = c
+		c = &homeBatcher{home: home, next: newRound()}
+		a.batchers[home.ID] = c
 	}
 	c.forced = home.ID != first.ID
 	return c
@@ -101,7 +101,7 @@
 }
 
 // callDue calls the home if a refill is due and no call is in flight.
-func (a *allowances) callDue(c *courier) {
+func (a *allowances) callDue(c *homeBatcher) {
 	a.mu.Lock()
 	due := !c.calling && len(c.next.claims) > 0
 	c.calling = c.calling || due
@@ -112,7 +112,7 @@
 }
 
 // call calls the home until no request waits for it.
-func (a *allowances) call(c *courier) {
+func (a *allowances) call(c *homeBatcher) {
 	for again := true; again; {
 		a.mu.Lock()
 		current, up, now := c.next, a.config.Uptime(), time.Now()
@@ -130,7 +130,7 @@
 
 // again reports whether a request waits for another call. Otherwise a refill is scheduled, if one
 // is due. The caller must hold mu.
-func (a *allowances) again(c *courier) bool {
+func (a *allowances) again(c *homeBatcher) bool {
 	for _, w := range c.next.claims {
 		if w != (waitingRequests{}) {
 			return true
@@ -144,7 +144,7 @@
 }
 
 // request returns the message for a round. The caller must hold mu.
-func (a *allowances) request(c *courier, current *round, up time.Duration) *messenger.TakeRequest {
+func (a *allowances) request(c *homeBatcher, current *round, up time.Duration) *messenger.TakeRequest {
 	a.number++
 	r := &messenger.TakeRequest{Host: a.config.Self, Incarnation: a.config.Run, Number: a.number, Forced: c.forced}
 	for name, w := range current.claims {
@@ -170,7 +170,7 @@
 }
 
 // settle takes over the answer to a call. The caller must hold mu.
-func (a *allowances) settle(c *courier, r *messenger.TakeRequest, reply *messenger.TakeReply, err error, sent time.Duration) {
+func (a *allowances) settle(c *homeBatcher, r *messenger.TakeRequest, reply *messenger.TakeReply, err error, sent time.Duration) {
 	up, failed := a.config.Uptime(), err != nil
 	for _, g := range reply.GetGrants() {
 		if g.GetElsewhere() {
