--- a/budgeter/escrow.go
+++ b/budgeter/escrow.go
@@ -2,9 +2,9 @@
 
 // Escrow is the view that one home has of a program's budget. All amounts are in
 // tokens. A home reserves tokens in three ways: by a reservation recorded in the
-// store, without a record up to its recorded allowance or permit, and for at most one further
-// turn whose record is still being written. The allowances and permits of other homes count
-// as spent, since a home that crashed can't tell how much of them it used. So
+// store, without a record up to its recorded allowance, and for at most one further
+// turn whose record is still being written. The allowances of other homes count as
+// spent, since a home that crashed can't tell how much of its allowance it used. So
 // a program generates at most its budget and one further turn.
 type Escrow struct {
 	// Budget is the maximum that the program may generate in total.
@@ -20,17 +20,8 @@
 	Allowance int64
 	// Unrecorded is the part of Settled and Reserved that is not in the store yet.
 	Unrecorded int64
-	// OtherPermits is the sum of the shares of the budget, in per cent, that other homes may
-	// have handed out under their permits.
-	OtherPermits int64
-	// Permit is how much this home may reserve without a record in the store under its permit;
-	// 0 if the permit does not cover the program or is not needed.
-	Permit int64
 }
 
-// percent is the share that is a whole budget.
-const percent = 100
-
 // budgetAllowanceDivisor limits an allowance to a third of the budget. This covers
 // some turns of a program while the store is unavailable. If the home crashes, the
 // program can no longer use the allowance. Most programs can bear this loss: they
@@ -52,23 +43,18 @@
 	// RecordNow is set if the allowance does not cover the reservation: the
 	// reservation has to be recorded at once.
 	RecordNow bool
-	// UnderPermit is set if the permit covers the reservation and the allowance does not.
-	UnderPermit bool
 }
 
 // RecordFirst means that nothing is reserved: the unrecorded earlier reservations exceed
-// the allowance and the permit, and have to be recorded first.
+// the allowance and have to be recorded first.
 type RecordFirst struct{}
 
 func (EscrowReserved) verdict() {}
 func (RecordFirst) verdict()    {}
 
 // Left returns the part of the budget that is not settled, reserved or part of another
-// home's allowance or permit, in tokens.
-func (e Escrow) Left() int64 {
-	otherPermits := (e.Budget*e.OtherPermits + percent - 1) / percent
-	return e.Budget - e.Settled - e.Reserved - e.OtherAllowances - otherPermits
-}
+// home's allowance, in tokens.
+func (e Escrow) Left() int64 { return e.Budget - e.Settled - e.Reserved - e.OtherAllowances }
 
 // WithReservation returns the escrow with the tokens of one turn reserved if the
 // verdict is EscrowReserved, and the unchanged escrow otherwise. maxTokens is the
@@ -77,13 +63,12 @@
 	switch {
 	case maxTokens < 0 || maxTokens > e.Left():
 		return e, Exceeded{Left: e.Left()}
-	case e.Unrecorded > max(e.Allowance, e.Permit):
+	case e.Unrecorded > e.Allowance:
 		return e, RecordFirst{}
 	}
 	e.Reserved += maxTokens
 	e.Unrecorded += maxTokens
-	recordNow := e.Unrecorded > e.Allowance
-	return e, EscrowReserved{RecordNow: recordNow, UnderPermit: recordNow && e.Unrecorded <= e.Permit}
+	return e, EscrowReserved{RecordNow: e.Unrecorded > e.Allowance}
 }
 
 // WithSettled returns the escrow after a turn has ended. maxTokens is what the turn
--- a/keeper/account.go
+++ b/keeper/account.go
@@ -23,15 +23,6 @@
 	// written to the store.
 	requestedAllowance int64
 	allowanceWritten   time.Time
-	// otherPermits holds the shares of the budget, in per cent, that other homes may have
-	// handed out under their permits, by the incarnation of the home.
-	otherPermits map[string]int64
-	// permitted is the most that this home may have reserved under its permit, in tokens.
-	permitted int64
-	// builtAllowance is the allowance of this home in the batch that was built last.
-	builtAllowance int64
-	// known is set once a record in the store names the program.
-	known bool
 	// retention determines how long the account is kept after lastUsed.
 	retention time.Duration
 	lastUsed  time.Time
@@ -70,9 +61,6 @@
 	written  time.Time
 	// change is the queued record of this home's reservation, or nil.
 	change *change
-	// permitted is set if the turn may run before the reservation is recorded, because the
-	// permit covers it.
-	permitted bool
 }
 
 // applyOtherReservation applies a reservation that another home recorded. One of 0 tokens
@@ -189,14 +177,13 @@
 }
 
 // applyOtherAllowance applies an allowance that another home recorded. It replaces
-// that home's earlier allowance, or its permit. written is when it was written to the store.
+// that home's earlier allowance. written is when it was written to the store.
 func (a *account) applyOtherAllowance(writer string, amount int64, written time.Time) {
 	if a.otherAllowances == nil {
 		a.otherAllowances = make(map[string]otherAllowance)
 	}
 	a.escrow.OtherAllowances += amount - a.otherAllowances[writer].amount
 	a.otherAllowances[writer] = otherAllowance{amount: amount, written: written}
-	a.dropPermit(writer)
 }
 
 // applyRecorded applies a change of this home that is in the store since now.
@@ -211,7 +198,7 @@
 	case rewriteSpendingChange:
 		a.sumWritten = k.taken
 	case allowanceChange:
-		a.applyRecordedAllowance(k.amount)
+		a.escrow.Allowance = k.amount
 		a.allowanceWritten = now
 	case rewriteReservationChange:
 		a.applyRewrittenReservation(k.writer, k.turn, now)
@@ -220,17 +207,6 @@
 	}
 }
 
-// applyRecordedAllowance takes an allowance of this home into use, unless it was given back
-// while its record was on the way.
-func (a *account) applyRecordedAllowance(amount int64) {
-	switch {
-	case amount == 0:
-		a.escrow.Allowance = 0
-	case a.requestedAllowance > 0:
-		a.escrow.Allowance = max(amount, a.builtAllowance)
-	}
-}
-
 // applyRecordedReservation marks this home's reservation for a turn as recorded.
 func (a *account) applyRecordedReservation(c *change, turn string, now time.Time) {
 	res, ok := a.reservations[turn]
--- a/keeper/budget_test.go
+++ b/keeper/budget_test.go
@@ -44,8 +44,7 @@
 		home := f.startHome(ctx, "second")
 		begin := func(turn string) string {
 			r := beginRequest(turn, "")
-			// One turn beside the permit of the first home, a quarter of the budget.
-			r.Retain, r.Budget = false, maxTokens*4/3+1
+			r.Retain, r.Budget = false, maxTokens
 			return home.Begin(ctx, r, time.Now()).GetVerdict().String()
 		}
 		f.store.SetFault(refuseAppends)
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -45,8 +45,8 @@
 }
 
 // allowanceChange sets the allowance of this home for a program: the number of
-// tokens that the home may reserve before the reservations are recorded. More is recorded
-// if the home's permit covers more. 0 gives the allowance back.
+// tokens that the home may reserve before the reservations are recorded. 0 gives
+// the allowance back.
 type allowanceChange struct{ amount int64 }
 
 // rewriteTurnChange writes a turn again before the store drops its older record.
@@ -147,9 +147,7 @@
 			Program: c.program, Turn: k.turn, Generated: k.generated,
 		})
 	case allowanceChange:
-		b.Allowances = append(b.Allowances, &recorder.Allowance{Program: c.program, Amount: s.recordedAllowance(c.program, k.amount)})
-	case permitChange:
-		s.addPermit(to, k)
+		b.Allowances = append(b.Allowances, &recorder.Allowance{Program: c.program, Amount: k.amount})
 	case bindingChange:
 		b.Bindings = append(b.Bindings, &recorder.Binding{
 			Attempt: k.attempt, Service: k.build.Service, Version: k.build.Version, Retention: k.retention,
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -242,7 +242,7 @@
 // writes deferred settlements, and rewrites records that the store would soon drop.
 // If the store drops records, Tick also visits the shards that this host is home of,
 // a few at a time: it reads what other homes have recorded there.
-// For a shard whose home is now another host, it releases the allowances and the permit, and drops
+// For a shard whose home is now another host, it releases the allowances, and drops
 // the shard once the shard is idle.
 func (k *Keeper) Tick(now time.Time) {
 	defer k.measure()
@@ -253,13 +253,12 @@
 		s.prune(now)
 		s.flushDeferred()
 		if k.config.Home(id, now) {
-			s.tendPermits(now)
 			if k.config.Retention > 0 {
 				s.rewriteExpiring(now)
 			}
 			continue
 		}
-		s.releaseAllowances(now)
+		s.releaseAllowances()
 		if s.isIdle(now) {
 			k.mu.Lock()
 			delete(k.shards, id)
@@ -268,12 +267,12 @@
 	}
 }
 
-// Release gives back the allowances and permits of this home, so that the next home can spend
+// Release gives back the allowances of this home, so that the next home can spend
 // them, and writes the deferred changes. It is called before a planned stop and does not
 // wait for the appends.
 func (k *Keeper) Release() {
 	for _, s := range k.openShards() {
-		s.releaseAllowances(time.Now())
+		s.releaseAllowances()
 		s.flushDeferred()
 	}
 }
--- a/keeper/reading.go
+++ b/keeper/reading.go
@@ -86,7 +86,6 @@
 		s.mu.Lock()
 		from := s.end
 		s.mu.Unlock()
-		began := time.Now()
 		page, err := s.keeper.config.Store.Read(ctx, s.partition, from, 0)
 		var trimmed *connector.TrimmedError
 		if errors.As(err, &trimmed) && trimmed.First > from {
@@ -99,7 +98,6 @@
 		atEnd := from+int64(len(page.Values)) >= page.End
 		s.applyPage(page, own, time.Now(), atEnd)
 		if atEnd {
-			s.noteEnd(began)
 			return nil
 		}
 		if len(page.Values) == 0 {
@@ -108,13 +106,6 @@
 	}
 }
 
-// noteEnd notes that the partition's end was known at a time.
-func (s *shard) noteEnd(at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.atEnd = at
-}
-
 // skipExpired moves on to the first record that the store still has. If only
 // part of a batch has been read, that part is dropped.
 func (s *shard) skipExpired(first int64) {
@@ -154,30 +145,28 @@
 // incarnation of this host.
 func (s *shard) applyForeign(b *recorder.ShardBatch, now time.Time) {
 	s.hadOtherWriter = true
-	s.supersedePermit(now)
-	if s.loaded && b.GetWriter() == s.keeper.config.Incarnation {
-		// Another home has written again what this one reserves. Before the shard is loaded,
-		// it is a record of this home from before the shard moved away and back.
+	if b.GetWriter() == s.keeper.config.Incarnation {
+		// Another home has written again what this one reserves.
 		return
 	}
 	age := max(0, now.Sub(time.UnixMilli(b.GetWritten())))
 	written := now.Add(-age)
 	for _, h := range b.GetHolds() {
-		s.knownAccount(h.GetProgram(), time.Duration(h.GetRetention())*time.Millisecond, now).
+		s.account(h.GetProgram(), time.Duration(h.GetRetention())*time.Millisecond, now).
 			applyOtherReservation(b.GetWriter(), h.GetTurn(), h.GetMost(), written)
 	}
 	for _, e := range b.GetSpendings() {
-		s.knownAccount(e.GetProgram(), time.Duration(e.GetRetention())*time.Millisecond, now).
+		s.account(e.GetProgram(), time.Duration(e.GetRetention())*time.Millisecond, now).
 			applyOtherSpending(e.GetSettled(), written)
 	}
 	for _, t := range b.GetTurns() {
 		s.addTurn(t, age, now)
 		if t.GetProgram() != "" {
-			s.knownAccount(t.GetProgram(), 0, now).applyOtherSettlement(t.GetId(), t.GetGenerated(), written)
+			s.account(t.GetProgram(), 0, now).applyOtherSettlement(t.GetId(), t.GetGenerated(), written)
 		}
 	}
 	for _, e := range b.GetSettlements() {
-		s.knownAccount(e.GetProgram(), 0, now).applyOtherSettlement(e.GetTurn(), e.GetGenerated(), written)
+		s.account(e.GetProgram(), 0, now).applyOtherSettlement(e.GetTurn(), e.GetGenerated(), written)
 	}
 	for _, bound := range b.GetBindings() {
 		if expires := bindingExpiry(written, bound.GetRetention()); !now.After(expires) {
@@ -186,11 +175,7 @@
 		}
 	}
 	for _, a := range b.GetAllowances() {
-		if a.GetProgram() == "" {
-			s.applyOtherPermit(b, a.GetAmount(), written)
-			continue
-		}
-		s.knownAccount(a.GetProgram(), 0, now).applyOtherAllowance(b.GetWriter(), a.GetAmount(), written)
+		s.account(a.GetProgram(), 0, now).applyOtherAllowance(b.GetWriter(), a.GetAmount(), written)
 	}
 }
 
@@ -199,30 +184,13 @@
 	for _, t := range b.message.GetTurns() {
 		s.addTurn(t, 0, now)
 	}
-	s.fencePermits(now)
 	for _, c := range b.changes {
-		if k, ok := c.kind.(permitChange); ok {
-			s.applyPermit(k, now)
+		if a, ok := s.accounts[c.program]; ok {
+			a.applyRecorded(c, now)
 		}
-		if c.program == "" {
-			continue
-		}
-		a, ok := s.accounts[c.program]
-		if !ok {
-			a = s.account(c.program, 0, now)
-		}
-		a.known = true
-		a.applyRecorded(c, now)
 	}
 }
 
-// knownAccount does what account does for a program that a record in the store names.
-func (s *shard) knownAccount(program string, retention time.Duration, now time.Time) *account {
-	a := s.account(program, retention, now)
-	a.known = true
-	return a
-}
-
 // addTurn adds a recorded turn to the tree. age is the time since the turn's record was
 // written.
 func (s *shard) addTurn(t *recorder.Turn, age time.Duration, now time.Time) {
--- a/keeper/reservation.go
+++ b/keeper/reservation.go
@@ -68,9 +68,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(minRecordWait, waitLimit(r, maxRecordWait)))
 	defer cancel()
-	usePermit := s.takesNoAppends(now)
 	for {
-		verdict, pending, err := s.reserve(r, usePermit, time.Now())
+		verdict, pending, err := s.reserve(r, now)
 		var full *QueueFullError
 		if errors.As(err, &full) {
 			s.withdraw(r)
@@ -84,48 +83,21 @@
 				Int64("most", r.GetMost()).Int64("budget", r.GetBudget()).Msg("budget exceeded")
 			return &messenger.BeginReply{Verdict: messenger.BeginReply_EXCEEDED}
 		case budgeter.RecordFirst:
-			if !usePermit {
-				usePermit = !k.awaitBriefly(ctx, pending)
-				continue
-			}
 			if !k.awaitChange(ctx, pending) {
 				return &messenger.BeginReply{
 					Verdict: messenger.BeginReply_UNCERTAIN, Detail: "earlier turns of the program are not recorded yet",
 				}
 			}
 		default:
-			if pending != nil && !k.awaitReservation(ctx, s, r, pending) {
+			if pending != nil && !k.awaitChange(ctx, pending) {
 				s.withdraw(r)
 				return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the reservation is not recorded yet"}
 			}
-			if pending != nil && s.isOverdrawn(r.GetProgram()) {
-				s.withdraw(r)
-				return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "another home has reserved the rest of the budget meanwhile"}
-			}
 			return &messenger.BeginReply{Verdict: messenger.BeginReply_RESERVED}
 		}
 	}
 }
 
-// awaitReservation waits until a turn's reservation is in the store, or the store takes no
-// appends and the permit covers the turn.
-func (k *Keeper) awaitReservation(ctx context.Context, s *shard, r *messenger.BeginRequest, c *change) bool {
-	if k.awaitBriefly(ctx, c) {
-		return true
-	}
-	if !c.isComplete() && s.coverByPermit(r.GetProgram(), r.GetTurn(), time.Now()) {
-		return true
-	}
-	return k.awaitChange(ctx, c)
-}
-
-// awaitBriefly does what awaitChange does, for at most permitDelay.
-func (k *Keeper) awaitBriefly(ctx context.Context, c *change) bool {
-	ctx, cancel := context.WithTimeout(ctx, permitDelay)
-	defer cancel()
-	return k.awaitChange(ctx, c)
-}
-
 // awaitChange waits until a change is in the store. It returns false if the append
 // failed or ctx ended first. If c is nil, there is no change to wait for: awaitChange
 // then pauses briefly, so that the caller does not retry in a busy loop.
--- a/keeper/reserve.go
+++ b/keeper/reserve.go
@@ -15,9 +15,8 @@
 // one, and tries again. If it is EscrowReserved, the turn may run once the returned
 // change, if there is one, is in the store: a turn that no record and no allowance
 // covers is run by the first home of a shard only, because each home that dies may
-// leave one. With usePermit the home's permit covers turns as an allowance does, if no record
-// names the program.
-func (s *shard) reserve(r *messenger.BeginRequest, usePermit bool, now time.Time) (budgeter.Verdict, *change, error) {
+// leave one.
+func (s *shard) reserve(r *messenger.BeginRequest, now time.Time) (budgeter.Verdict, *change, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(r.GetProgram(), time.Duration(r.GetRetention())*time.Millisecond, now)
@@ -32,12 +31,6 @@
 		err := s.hold(r.GetProgram(), a, res)
 		return budgeter.EscrowReserved{}, s.changeBeforeRun(res), err
 	}
-	s.requestPermit(now)
-	a.escrow.Permit = 0
-	if usePermit {
-		a.escrow.Permit = s.permitFor(a, now)
-	}
-	permit := a.escrow.Permit
 	escrow, verdict := a.escrow.WithReservation(r.GetMost())
 	switch v := verdict.(type) {
 	case budgeter.RecordFirst:
@@ -47,9 +40,6 @@
 		a.escrow = escrow
 		res := &reservation{maxTokens: r.GetMost(), claims: 1}
 		a.reservations[r.GetTurn()] = res
-		if permit > 0 && v.RecordNow && (v.UnderPermit || s.isFirstHome()) {
-			s.usePermit(a, res, permit)
-		}
 		if v.RecordNow {
 			_, err := s.recordReservations(r.GetProgram(), a)
 			return v, s.changeBeforeRun(res), err
@@ -63,11 +53,11 @@
 // withdraw. The caller holds mu.
 func (s *shard) hold(program string, a *account, res *reservation) error {
 	if !res.held() {
-		res.recorded, res.permitted = false, false
+		res.recorded = false
 		a.escrow.Unrecorded += res.maxTokens
 	}
 	res.claims++
-	if res.recorded || res.permitted || s.isFirstHome() {
+	if res.recorded || !s.hadOtherWriter {
 		return nil
 	}
 	_, err := s.enqueueReservations(program, a)
@@ -107,19 +97,10 @@
 // Error returns a message with the turn's id.
 func (e *EndedError) Error() string { return "turn " + e.Turn + " has ended already" }
 
-// isOverdrawn reports whether more is reserved of a program's budget than is left, because other
-// homes have reserved it while a record of this one was on its way. Their records come first.
-func (s *shard) isOverdrawn(program string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a, ok := s.accounts[program]
-	return ok && a.escrow.Left() < 0
-}
-
 // changeBeforeRun returns the queued record of a reservation if it has to be in the store
 // before the turn runs, and nil otherwise. The caller holds mu.
 func (s *shard) changeBeforeRun(res *reservation) *change {
-	if s.isFirstHome() || res.permitted {
+	if !s.hadOtherWriter {
 		return nil
 	}
 	return res.change
@@ -202,13 +183,10 @@
 	s.deferred = append(s.deferred, newChange(r.GetProgram(), settlementChange{turn: r.GetTurn(), generated: r.GetGenerated()}))
 }
 
-// releaseAllowances gives back the allowances of this home and closes its permit.
-func (s *shard) releaseAllowances(now time.Time) {
+// releaseAllowances gives back the allowances of this home.
+func (s *shard) releaseAllowances() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.releasePermit(now); err != nil {
-		s.logger.Warn().Err(err).Msg("permit not closed")
-	}
 	for program, a := range s.accounts {
 		if a.requestedAllowance == 0 {
 			continue
@@ -219,14 +197,13 @@
 	}
 }
 
-// releaseAllowance gives back this home's allowance for a program. Everything that it
-// covered until now is recorded first. From now on the allowance covers no further turn,
+// releaseAllowance gives back this home's allowance for a program. Open reservations that it
+// covered until now are recorded first. From now on the allowance covers no further turn,
 // although the record that gives it back is not in the store yet. The caller holds mu.
 func (s *shard) releaseAllowance(program string, a *account) error {
 	a.requestedAllowance = 0
 	a.escrow.Allowance = 0
-	a.permitted = 0
-	if err := s.enqueueUnrecorded(program, a); err != nil {
+	if _, err := s.enqueueReservations(program, a); err != nil {
 		return err
 	}
 	return s.enqueue(newChange(program, allowanceChange{}))
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -49,16 +49,6 @@
 	// otherChains caches chains that were found in other shards, by the id of the
 	// chain's last turn. A chain is the text of a turn and of all turns before it.
 	otherChains map[string][]byte
-	// permit is this home's permit, and otherPermits has the open permits of other homes by
-	// incarnation.
-	permit       permit
-	otherPermits map[string]otherPermit
-	// atEnd is when the last call began that showed the partition's end.
-	atEnd time.Time
-	// appending is when the append under way began; zero if there is none.
-	appending time.Time
-	// longestRetention is the longest retention of an account so far.
-	longestRetention time.Duration
 	// queue holds the changes that wait for an append.
 	queue []*change
 	// rewrites holds the changes under way that write records again.
@@ -99,10 +89,6 @@
 	return s.loaded
 }
 
-// isFirstHome reports whether this home has written all records of the partition, and at least
-// one: several hosts may take an empty partition for theirs. The caller holds mu.
-func (s *shard) isFirstHome() bool { return !s.hadOtherWriter && s.end > 0 }
-
 // account returns the account of a program and creates it if necessary. The account
 // has the longest of the retentions that were passed for the program.
 func (s *shard) account(program string, retention time.Duration, now time.Time) *account {
@@ -113,12 +99,8 @@
 			s.accounts = make(map[string]*account)
 		}
 		s.accounts[program] = a
-		for writer, o := range s.otherPermits {
-			a.assumePermit(writer, o.share)
-		}
 	}
 	a.retention = max(a.retention, retention)
-	s.longestRetention = max(s.longestRetention, retention)
 	a.lastUsed = now
 	return a
 }
--- a/keeper/status.go
+++ b/keeper/status.go
@@ -19,11 +19,6 @@
 	// Unavailable is set while the partition accepts no appends although the rest of the
 	// store answers.
 	Unavailable bool `json:"away"`
-	// Permit is the share of a new program's budget, in per cent, that may be handed out while
-	// the store takes no appends; 0 without a permit. OtherPermits is the share that earlier
-	// homes may have handed out.
-	Permit       int64 `json:"permit"`
-	OtherPermits int64 `json:"other_permits"`
 }
 
 // Status returns the state of the shards in memory, ordered by name.
@@ -39,15 +34,8 @@
 func (s *shard) status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	status := Status{
+	return Status{
 		Shard: s.partition.String(), Loaded: s.loaded, End: s.end, Turns: s.tree.Len(), Programs: len(s.accounts),
 		Waiting: len(s.queue) + len(s.deferred), Unavailable: s.unavailable.value,
 	}
-	if s.permit.valid {
-		status.Permit = s.permit.share
-	}
-	for _, o := range s.otherPermits {
-		status.OtherPermits += o.share
-	}
-	return status
 }
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -241,13 +241,6 @@
 	message.Turns = append(message.Turns, c.turn)
 }
 
-// setAppending notes when the append under way began, or with the zero time that it has ended.
-func (s *shard) setAppending(since time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.appending = since
-}
-
 // appendBatch repeats one append until its outcome is known. done is true if the
 // batch is in the partition, and false if another append took its offset. The error is a
 // *TooLargeError if the store will never take the batch. The caller holds ioLock.
@@ -257,16 +250,11 @@
 		return false, tooLarge
 	}
 	start := time.Now()
-	s.setAppending(start)
-	defer func() {
-		s.setAppending(time.Time{})
-		s.keeper.config.Counters.Measured(counter.MeasureAppend, time.Since(start))
-	}()
+	defer func() { s.keeper.config.Counters.Measured(counter.MeasureAppend, time.Since(start)) }()
 	retries := backoff.NewExponentialBackOff()
 	retries.InitialInterval = minAppendBackoff
 	retries.MaxInterval = maxAppendBackoff
 	for ctx.Err() == nil {
-		began := time.Now()
 		_, err := s.keeper.config.Store.Append(ctx, s.partition, b.records, offset)
 		var mismatch *connector.EndMismatchError
 		if err == nil || errors.As(err, &mismatch) || connector.IsTooLarge(err) {
@@ -277,7 +265,6 @@
 			s.mu.Lock()
 			s.end = offset + int64(len(b.records))
 			s.readSinceVisit = true
-			s.atEnd = began
 			s.applyOwn(b, time.Now())
 			s.mu.Unlock()
 			return true, nil
