Read a home's own records when its shard returns to it

A host whose shard moved to another host for more than 20 s and then back read the partition again and skipped every record with its own incarnation. Callers got 404 for the turns that it had recorded itself, and the budgets that those turns had spent were handed out again.

Records of this incarnation are now skipped only once the shard is loaded: then they are copies that another home has written. Before that they are this home's own from before.

--- a/keeper/reading.go
+++ b/keeper/reading.go
@@ -145,8 +145,9 @@
 // incarnation of this host.
 func (s *shard) applyForeign(b *recorder.ShardBatch, now time.Time) {
 	s.hadOtherWriter = true
-	if b.GetWriter() == s.keeper.config.Incarnation {
-		// Another home has written again what this one reserves.
+	if s.loaded && b.GetWriter() == s.keeper.config.Incarnation {
+		// Another home has written again what this one reserves. Before the shard is loaded,
+		// it is a record of this home from before the shard moved away and back.
 		return
 	}
 	age := max(0, now.Sub(time.UnixMilli(b.GetWritten())))
--- a/keeper/rewrite_reserved.go
+++ b/keeper/rewrite_reserved.go
@@ -110,7 +110,7 @@
 	}
 	_, held := res.holders[k.writer]
 	if k.writer == s.keeper.config.Incarnation {
-		held = res.held() && !res.settled
+		held = held || (res.held() && !res.settled)
 	}
 	if !held {
 		return
@@ -139,8 +139,8 @@
 	message.Allowances = append(message.Allowances, &recorder.Allowance{Program: program, Amount: amount})
 }
 
-// applyRewrittenReservation notes that a home's reservation was written again. Reservations of
-// this home have no holder of its incarnation.
+// applyRewrittenReservation notes that a home's reservation was written again. A reservation
+// has this home as a holder only from before the shard moved away and back.
 func (a *account) applyRewrittenReservation(writer, turn string, now time.Time) {
 	res, ok := a.reservations[turn]
 	if !ok {
