Check a reservation again once its record is in the store

Two ways to hand out more than a budget and one turn, each shown by four hosts that let four turns of a program with a budget of one turn run:

- Several homes reserve the rest of a budget before they read one another's records.
A home that lost the race for an append read the other's record and appended its own all the same.
It now checks after the append, and refuses the turn (503) if more is reserved than is left.
- Several hosts take an empty partition for one that no other home has had, and each lets one turn run ahead of its record.
Now only a home with a record of its own in the partition does; the first turn of an empty shard waits for one append.

--- a/keeper/reservation.go
+++ b/keeper/reservation.go
@@ -93,6 +93,10 @@
 				s.withdraw(r)
 				return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "the reservation is not recorded yet"}
 			}
+			if pending != nil && s.isOverdrawn(r.GetProgram()) {
+				s.withdraw(r)
+				return &messenger.BeginReply{Verdict: messenger.BeginReply_UNCERTAIN, Detail: "another home has reserved the rest of the budget meanwhile"}
+			}
 			return &messenger.BeginReply{Verdict: messenger.BeginReply_RESERVED}
 		}
 	}
--- a/keeper/reserve.go
+++ b/keeper/reserve.go
@@ -57,7 +57,7 @@
 		a.escrow.Unrecorded += res.maxTokens
 	}
 	res.claims++
-	if res.recorded || !s.hadOtherWriter {
+	if res.recorded || s.isFirstHome() {
 		return nil
 	}
 	_, err := s.enqueueReservations(program, a)
@@ -97,10 +97,19 @@
 // Error returns a message with the turn's id.
 func (e *EndedError) Error() string { return "turn " + e.Turn + " has ended already" }
 
+// isOverdrawn reports whether more is reserved of a program's budget than is left, because other
+// homes have reserved it while a record of this one was on its way. Their records come first.
+func (s *shard) isOverdrawn(program string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.accounts[program]
+	return ok && a.escrow.Left() < 0
+}
+
 // changeBeforeRun returns the queued record of a reservation if it has to be in the store
 // before the turn runs, and nil otherwise. The caller holds mu.
 func (s *shard) changeBeforeRun(res *reservation) *change {
-	if !s.hadOtherWriter {
+	if s.isFirstHome() {
 		return nil
 	}
 	return res.change
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -89,6 +89,10 @@
 	return s.loaded
 }
 
+// isFirstHome reports whether this home has written all records of the partition, and at least
+// one: several hosts may take an empty partition for theirs. The caller holds mu.
+func (s *shard) isFirstHome() bool { return !s.hadOtherWriter && s.end > 0 }
+
 // account returns the account of a program and creates it if necessary. The account
 // has the longest of the retentions that were passed for the program.
 func (s *shard) account(program string, retention time.Duration, now time.Time) *account {
