Count half of the wait of an empty read towards the age of the configuration

Change: the store answers without records only once it has waited; half of the wait counts, which also holds for reads through other hosts. The margin is 0.05 s, as requests are checked again before they are sent on.

--- a/entry_keys.go
+++ b/entry_keys.go
@@ -8,8 +8,9 @@
 
 const (
 	// revocationMargin is how long before the bound of a revocation a host stops accepting
-	// keys: the request still has to be sent.
-	revocationMargin = 250 * time.Millisecond
+	// keys. The bound holds for the time at which the caller sends the request, and each
+	// request is checked again before it is sent on.
+	revocationMargin = 50 * time.Millisecond
 	// unknownKeyAge is the age of the configuration up to which an unknown key is rejected for
 	// good. It is above the age that the configuration reaches while the store answers.
 	unknownKeyAge = 3 * time.Second
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -74,7 +74,7 @@
 		f.snapshotRead = false
 	}
 	if page.End == f.nextOffset {
-		f.confirmNewest(asked)
+		f.confirmNewest(asked + f.waited(asked, page, wait))
 	}
 	return nil
 }
@@ -125,6 +125,17 @@
 	return nil
 }
 
+// waited returns how long after the start of a read its answer was true at the least. The store
+// answers without records only once it has waited for them. Half of the wait counts: a read
+// through another host does not wait, and is made after a first host has failed for at most that
+// long.
+func (f *follower) waited(asked time.Duration, page connector.Records, wait time.Duration) time.Duration {
+	if len(page.Values) > 0 || f.watcher.config.Uptime()-asked < wait {
+		return 0
+	}
+	return wait / 2
+}
+
 // confirmNewest records that the records applied so far were the newest at an uptime.
 func (f *follower) confirmNewest(at time.Duration) {
 	f.watcher.renewSnapshot(f.partition, at)
