Don't give up the only upstream as overdue

Callers saw: 502 for an idempotent request whose only upstream had not begun its response after 300 ms.

Cause: a response that has not begun in time is given up so that another upstream can be tried, also if there is none.

Change: there is no such limit if no other upstream could be chosen.

--- a/forwarder/chooser.go
+++ b/forwarder/chooser.go
@@ -67,6 +67,8 @@
 	// idle is true if at most half of the upstream's slots are in use, so that the
 	// upstream reads the prompt at once.
 	idle bool
+	// only is true if no other upstream could be chosen.
+	only bool
 	// delay is how long the request has to wait before it is sent, as the upstream names a
 	// limit.
 	delay time.Duration
@@ -118,6 +120,7 @@
 		idle:     2*inFlight <= best.Upstream.Slots,
 		delay:    delays[best.Upstream.ID],
 		method:   methodOf(s, c),
+		only:     len(candidates) == 1,
 	}, true
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -179,7 +179,7 @@
 		Authenticated: e.authenticated,
 		Organisation:  e.organisation.Name,
 		LastEventID:   after,
-		HeaderTimeout: e.headerTimeout(now),
+		HeaderTimeout: e.headerTimeout(chosen, now),
 		Withdrawn:     func(now time.Time) bool { return e.unsendable(ctx, now) != nil },
 	}, now)
 	e.learnNotice(u, response, err)
@@ -195,9 +195,9 @@
 
 // headerTimeout returns how long an upstream may take to begin its response before
 // the request is sent to another upstream. It returns 0, which means no limit, for a
-// request that may not run again.
-func (e *exchange) headerTimeout(now time.Time) time.Duration {
-	if !e.repeatable(e.runs + 1) {
+// request that may not run again, and if there is no other upstream.
+func (e *exchange) headerTimeout(chosen choice, now time.Time) time.Duration {
+	if chosen.only || !e.repeatable(e.runs+1) {
 		return 0
 	}
 	// The next upstream must have at least half of the remaining time.
