--- a/descriptor/organisation.go
+++ b/descriptor/organisation.go
@@ -52,9 +52,6 @@
 // Required reports whether requests need a key.
 func (o Organisations) Required() bool { return o.required }
 
-// Len returns the number of organisations.
-func (o Organisations) Len() int { return len(o.byName) }
-
 // Organisation returns the organisation with a name.
 func (o Organisations) Organisation(name string) (Organisation, bool) {
 	organisation, ok := o.byName[name]
@@ -73,17 +70,6 @@
 // All returns the organisations by name. Callers must not modify the map.
 func (o Organisations) All() map[string]Organisation { return o.byName }
 
-// Keys returns the short digests of an organisation's keys.
-func (o Organisations) Keys(name string) []string {
-	var digests []string
-	for digest, holder := range o.byKey {
-		if holder == name {
-			digests = append(digests, digest.Short())
-		}
-	}
-	return digests
-}
-
 // KeyDigests returns the short digests of the keys of all organisations, by name.
 func (o Organisations) KeyDigests() map[string][]string {
 	digests := make(map[string][]string, len(o.byName))
--- a/entry_allowances.go
+++ b/entry_allowances.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -46,8 +45,12 @@
 	allowancePruneAfter = time.Minute
 )
 
-// errNoAllowanceHome means that a request got no answer of a home in its time.
-var errNoAllowanceHome = errors.New("no host answered as home")
+// NoOrganisationHomeError reports that a request got no answer of its organisation's home in its
+// time.
+type NoOrganisationHomeError struct{}
+
+// Error implements the error interface.
+func (*NoOrganisationHomeError) Error() string { return "no host answered as home" }
 
 // allowancesConfig holds the dependencies of allowances.
 type allowancesConfig struct {
@@ -137,7 +140,7 @@
 		case <-limited.Done():
 			cancel()
 			a.leave(r)
-			return forwarder.AllowanceUnknown{Cause: errNoAllowanceHome}
+			return forwarder.AllowanceUnknown{Cause: &NoOrganisationHomeError{}}
 		}
 		now = time.Now()
 	}
@@ -164,7 +167,7 @@
 	answered := a.ask(name, r.Kind, now)
 	if answered == nil {
 		p.unreached++
-		return forwarder.AllowanceUnknown{Cause: errNoAllowanceHome}, nil
+		return forwarder.AllowanceUnknown{Cause: &NoOrganisationHomeError{}}, nil
 	}
 	return nil, answered
 }
--- a/entry_allowances_test.go
+++ b/entry_allowances_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -19,8 +18,10 @@
 	"github.com/citronpier/citronpier/messenger"
 )
 
-// errUnreachable is the error of a call to a host that is down.
-var errUnreachable = errors.New("host is down")
+// hostDownError reports a call to a host that is down.
+type hostDownError struct{}
+
+func (hostDownError) Error() string { return "host is down" }
 
 // allowanceHosts are hosts in one process that call each other directly.
 type allowanceHosts struct {
@@ -45,7 +46,7 @@
 	c.hosts.mu.Unlock()
 	if down {
 		<-ctx.Done()
-		return nil, errUnreachable
+		return nil, hostDownError{}
 	}
 	time.Sleep(c.hosts.delay)
 	return to.answer(r), nil
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -24,12 +24,7 @@
 	if o := e.beginTurn(ctx, t); o != nil {
 		return o
 	}
-	// The program's home tells whether the program has begun, so it is asked first.
-	if o := e.takeAllowance(ctx, time.Now()); o != nil {
-		e.settleInBackground(t)
-		return o
-	}
-	if o := e.admit(time.Now()); o != nil {
+	if o := e.letIn(ctx); o != nil {
 		e.settleInBackground(t)
 		return o
 	}
@@ -45,6 +40,16 @@
 	return e.relayStream(ctx, t, response)
 }
 
+// letIn takes a credit of the organisation for a turn and asks for the admission of its program.
+// It returns the outcome of a turn that must not run, and nil otherwise. Both depend on whether
+// the program has begun, which the program's home has told by then.
+func (e *exchange) letIn(ctx context.Context) Outcome {
+	if o := e.takeAllowance(ctx, time.Now()); o != nil {
+		return o
+	}
+	return e.admit(time.Now())
+}
+
 // serveNonStream sends the caller a response to a stream request whose status is not
 // 200: its body is not a stream of events.
 func (e *exchange) serveNonStream(ctx context.Context, response *exchanger.Response) Outcome {
