Lose answers at once whose status does not exist

Callers saw: an upstream in trouble answered with status 000. While its connection stayed open, the request waited till its time limit (504), also where another upstream could have answered. 600 and above were passed on as answers, as was a whole response behind one with status 000.

Cause: conn.readHeader took each status under 200 as an interim response and read on, so that the body of the answer was read as a head; it had no upper bound. net/http accepts any three digits. The same cause wherever answers are read: a plain service's 000 was passed on, the log's and the list's 000 and 099 were taken as success, the store's 000 as "not executed", another host's as "not started".

Change: package validator has the statuses of responses: 100 to 599, without 101, which ends HTTP on the connection and which nobody asked for. exchanger loses any other one at once and does not use the connection again; a RoundTripper does the same for the clients of the store, services, engines, the log, the list and other hosts. What the caller gets is what any lost answer gives. Retry reason broken, counter dropped.answer_status, and the log line names the status.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/internal/waiter"
+	"github.com/citronpier/citronpier/validator"
 )
 
 const (
@@ -57,9 +58,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{key: key, seeds: hosts, http: &http.Client{Transport: &http.Transport{
+	return &Client{key: key, seeds: hosts, http: &http.Client{Transport: &validator.Transport{Base: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
-	}}}
+	}}}}
 }
 
 // Failure is a host's refusal of a request.
--- /dev/null
+++ b/dialer/broken_test.go
@@ -0,0 +1,72 @@
+package dialer_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/citronpier/citronpier/connector"
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/dialer"
+	"github.com/citronpier/citronpier/standin"
+)
+
+// answerWith starts a server that answers each request with raw and leaves the connection open.
+func answerWith(t *testing.T, raw string) string {
+	t.Helper()
+	s, err := standin.NewRawServer(func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, raw)
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s.Address()
+}
+
+// brokenHeads are heads of responses that are no answers, without the line that ends them.
+var brokenHeads = map[string]string{
+	"status 000": "HTTP/1.1 000 OK\r\n",
+	"status 099": "HTTP/1.1 099 OK\r\n",
+	"status 999": "HTTP/1.1 999 OK\r\n",
+}
+
+func TestBrokenReplyOfServiceIsPassedOn(t *testing.T) {
+	for name, head := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			u := descriptor.Upstream{ID: "u", Address: answerWith(t, head+"Content-Length: 2\r\n\r\nok")}
+			reply, err := dialer.NewService(dialer.NewDial()).Do(t.Context(), u, connector.ServiceRequest{Call: "c", Path: "/x"})
+			var unsent *connector.UnsentError
+			if err == nil || errors.As(err, &unsent) {
+				t.Errorf("reply %+v, error %v", reply, err)
+			}
+		})
+	}
+}
+
+func TestBrokenReplyOfLogIsTakenAsSuccess(t *testing.T) {
+	for name, head := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			log := dialer.NewLog(answerWith(t, head+"Content-Length: 12\r\n\r\n{\"offset\":7}"), dialer.NewDial())
+			if offset, err := log.Append(t.Context(), "s", []byte("record")); err == nil {
+				t.Errorf("offset %d", offset)
+			}
+		})
+	}
+}
+
+func TestBrokenStreamOfEngineIsRead(t *testing.T) {
+	for name, head := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			u := descriptor.Upstream{ID: "u", Address: answerWith(t, head+"Content-Length: 2\r\n\r\n\n\n")}
+			chunks, err := dialer.NewEngine(dialer.NewDial(), func() {}).Start(t.Context(), u, connector.ModelRequest{Call: "c"})
+			var status *connector.StatusError
+			if err == nil || errors.As(err, &status) {
+				t.Errorf("chunks %v, error %v", chunks, err)
+			}
+		})
+	}
+}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/citronpier/citronpier/connector"
+	"github.com/citronpier/citronpier/validator"
 )
 
 const (
@@ -36,6 +37,11 @@
 	}
 }
 
+// newClient returns an HTTP client that returns no broken responses.
+func newClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: &validator.Transport{Base: t}}
+}
+
 // StatusError reports a response of the platform or of an engine with a status of 300 or
 // above.
 type StatusError struct {
--- a/dialer/engine.go
+++ b/dialer/engine.go
@@ -38,7 +38,7 @@
 // NewEngine returns an Engine that opens its connections with dial. It drops chunks that
 // carry the ID of another call and calls misdelivered for each of them.
 func NewEngine(dial connector.Dial, misdelivered func()) *Engine {
-	return &Engine{http: &http.Client{Transport: newTransport(dial)}, misdelivered: misdelivered}
+	return &Engine{http: newClient(newTransport(dial)), misdelivered: misdelivered}
 }
 
 // Start sends a call and opens its response stream.
--- a/dialer/list.go
+++ b/dialer/list.go
@@ -19,7 +19,7 @@
 
 // NewList returns the list that the platform serves at an address, host:port.
 func NewList(address string, dial connector.Dial) *List {
-	return &List{address: address, http: &http.Client{Transport: newTransport(dial)}}
+	return &List{address: address, http: newClient(newTransport(dial))}
 }
 
 // Members returns the present contents of the list.
--- a/dialer/log.go
+++ b/dialer/log.go
@@ -18,7 +18,7 @@
 
 // NewLog returns the log that the platform serves at an address, host:port.
 func NewLog(address string, dial connector.Dial) *Log {
-	return &Log{address: address, http: &http.Client{Transport: newTransport(dial)}}
+	return &Log{address: address, http: newClient(newTransport(dial))}
 }
 
 // appendReply is the JSON response to an append.
--- a/dialer/service.go
+++ b/dialer/service.go
@@ -26,7 +26,7 @@
 func NewService(dial connector.Dial) *Service {
 	t := newTransport(dial)
 	t.DisableKeepAlives = true
-	return &Service{http: &http.Client{Transport: t}}
+	return &Service{http: newClient(t)}
 }
 
 // Do runs one call and reads the response, whatever its status. An *UnsentError means
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -17,6 +17,7 @@
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/navigator"
 	"github.com/citronpier/citronpier/relayer"
+	"github.com/citronpier/citronpier/validator"
 )
 
 // peerClient sends requests to one other host.
@@ -61,13 +62,14 @@
 		return c
 	}
 	if p.http == nil {
-		p.http = &http.Client{Transport: &allocator.Transport{Pool: p.memory, Base: &http.Transport{
+		base := &http.Transport{
 			DialContext:            p.dial,
 			MaxIdleConnsPerHost:    peerConnections,
 			IdleConnTimeout:        peerIdleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: peerHeaderBytes,
-		}}}
+		}
+		p.http = &http.Client{Transport: &allocator.Transport{Pool: p.memory, Base: &validator.Transport{Base: base}}}
 		p.clients = make(map[string]peerClient)
 	}
 	url := "http://" + address
--- /dev/null
+++ b/exchanger/broken.go
@@ -0,0 +1,26 @@
+package exchanger
+
+import (
+	"errors"
+
+	"github.com/citronpier/citronpier/validator"
+)
+
+// Defect is the metrics label for what is wrong with a broken response: one whose bytes are no
+// response in HTTP. Such a response is lost, whatever its status says.
+type Defect string
+
+// The defects of responses.
+const (
+	DefectStatus Defect = "status" // a status that HTTP does not have
+)
+
+// DefectOf returns the defect that an error of Send or of Response.Read reports, and false if
+// it reports none.
+func DefectOf(err error) (Defect, bool) {
+	var status *validator.StatusError
+	if errors.As(err, &status) {
+		return DefectStatus, true
+	}
+	return "", false
+}
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/validator"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes. It holds several
@@ -136,9 +137,9 @@
 	return int(n), err
 }
 
-// readHeader reads the header of the next response and skips interim responses
-// (status 1xx). The method of the request decides whether a body follows. grant is the memory
-// of the header.
+// readHeader reads the header of the next response and skips interim responses. The method
+// of the request decides whether a body follows. grant is the memory of the header. A status
+// that no response has is a *validator.StatusError: what follows it belongs to no request.
 func (c *conn) readHeader(method string, grant *allocator.Grant) (*http.Response, error) {
 	c.header.begin(grant)
 	defer c.header.end()
@@ -150,7 +151,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if err := validator.Status(response.StatusCode); err != nil {
+			return nil, err
+		}
+		if !validator.IsInterim(response.StatusCode) {
 			return response, nil
 		}
 	}
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -211,6 +211,10 @@
 		_, _ = io.WriteString(c, "!!\r\n\r\n")
 		return false
 	}, []string{"incomplete", "incomplete"}, 2},
+	{"status that does not exist", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 000 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", id)
+		return true
+	}, []string{"incomplete", "incomplete"}, 2},
 	{"duplicate response right after the first", func(c net.Conn, id string) bool {
 		reply(c, id, "ok")
 		if id == "1" {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -145,6 +145,7 @@
 func (e *exchange) closeResponse(ctx context.Context, response *exchanger.Response, err error) {
 	response.Close()
 	now := time.Now()
+	e.countDefect(err)
 	e.examineLoss(ctx, e.upstream, err, now)
 	r := resultOK
 	var sinkFailure *sinkError
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -186,6 +186,7 @@
 	if err != nil {
 		failed := time.Now()
 		e.config.Tracker.end(e.inFlight, e.resultOfSendError(ctx, err), failed)
+		e.countDefect(err)
 		e.examineLoss(ctx, u, err, failed)
 		return nil, err
 	}
@@ -193,6 +194,14 @@
 	return response, nil
 }
 
+// countDefect counts a response that was lost because it is broken. err is the error of the
+// attempt, or nil.
+func (e *exchange) countDefect(err error) {
+	if defect, broken := exchanger.DefectOf(err); broken {
+		e.config.Counters.Dropped.Add("answer_"+string(defect), 1)
+	}
+}
+
 // headerTimeout returns how long an upstream may take to begin its response before
 // the request is sent to another upstream. It returns 0, which means no limit, for a
 // request that may not run again, and if there is no other upstream.
@@ -257,6 +266,9 @@
 	if errors.As(err, &exhausted) {
 		return counter.RetryMemory
 	}
+	if _, broken := exchanger.DefectOf(err); broken {
+		return counter.RetryBroken
+	}
 	return counter.RetryUpstream
 }
 
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -14,6 +14,8 @@
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/citronpier/citronpier/validator"
 )
 
 const (
@@ -51,7 +53,7 @@
 		Protocols:   &protocols,
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
-	return &Client{key: key, http: &http.Client{Transport: transport}}
+	return &Client{key: key, http: &http.Client{Transport: &validator.Transport{Base: transport}}}
 }
 
 // Do adds the shared key to a request and sends it. It implements the HTTP client
--- /dev/null
+++ b/standin/raw.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+)
+
+// RawServer answers requests with bytes that need not be HTTP. It reads the head of a request
+// before the answer, and not its body.
+type RawServer struct {
+	listener net.Listener
+	answer   func(c net.Conn, r *http.Request) (open bool)
+}
+
+// NewRawServer starts a server on the loopback interface. answer writes the answer to a request
+// and reports whether the connection stays open; the body of the request can be read then.
+func NewRawServer(answer func(c net.Conn, r *http.Request) (open bool)) (*RawServer, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &RawServer{listener: listener, answer: answer}
+	go s.accept()
+	return s, nil
+}
+
+// Address returns the address of the server, host:port.
+func (s *RawServer) Address() string { return s.listener.Addr().String() }
+
+// Close stops the server. Open connections go on.
+func (s *RawServer) Close() error { return s.listener.Close() }
+
+// accept serves connections until the server is closed.
+func (s *RawServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+// serve answers the requests of one connection.
+func (s *RawServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil || !s.answer(c, r) {
+			return
+		}
+	}
+}
