Take only promised statuses as not executed

Callers saw: nothing yet, by reading. The client of other hosts took each status but 200 as "not started", and the call was sent to another host: a call that may run once could have run twice.

--- a/dialer/peers.go
+++ b/dialer/peers.go
@@ -44,12 +44,12 @@
 func (p *Peers) Queries(h descriptor.Host) messenger.Queries { return p.client.Queries(h.Peer) }
 
 // markNotStarted wraps an error in an *UnsentError if the host certainly did not start the
-// request: the connection attempt failed, or the host replied with an error status. It
-// returns other errors unchanged.
+// request: the connection attempt failed, or the host has rejected the request. It returns
+// other errors unchanged.
 func markNotStarted(h descriptor.Host, err error) error {
 	var dial *messenger.DialError
 	var status *messenger.StatusError
-	if errors.As(err, &dial) || errors.As(err, &status) {
+	if errors.As(err, &dial) || (errors.As(err, &status) && status.NotStarted()) {
 		return &connector.UnsentError{Upstream: h.ID, Cause: err}
 	}
 	return err
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -74,15 +74,15 @@
 }
 
 // Call runs a call at the home of its program and opens the stream of its frames. After
-// a *DialError or *StatusError the call has not started; after an *InterruptedError it
-// may have.
+// a *DialError, or a *StatusError that says so, the call has not started; after any other
+// error it may have.
 func (c *Client) Call(ctx context.Context, address string, req *CallRequest) (*Stream, error) {
 	return c.open(ctx, address, callPath, req)
 }
 
 // Dispatch runs one attempt of a call at the home of an upstream and opens the stream of
-// its frames. After a *DialError or *StatusError the attempt has not started; after an
-// *InterruptedError it may have.
+// its frames. After a *DialError, or a *StatusError that says so, the attempt has not started;
+// after any other error it may have.
 func (c *Client) Dispatch(ctx context.Context, address string, req *DispatchRequest) (*Stream, error) {
 	return c.open(ctx, address, dispatchPath, req)
 }
@@ -97,13 +97,23 @@
 // Unwrap returns the error of the connection attempt.
 func (e *DialError) Unwrap() error { return e.Cause }
 
-// StatusError reports that a host replied with an HTTP error status and not with a
-// stream. The host has not started the request.
+// StatusError reports that a host replied with an HTTP status and not with a stream.
 type StatusError struct{ Status int }
 
 // Error states the HTTP status.
 func (e *StatusError) Error() string { return fmt.Sprintf("host replied with status %d", e.Status) }
 
+// NotStarted reports whether the host has not started the request: it has rejected it before
+// it ran. Any other status may have another cause, and says nothing about the request.
+func (e *StatusError) NotStarted() bool {
+	switch e.Status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusMethodNotAllowed:
+		return true
+	default:
+		return false
+	}
+}
+
 // open sends a request and returns the stream of its response. The stream's timeout also
 // bounds the wait for the response header.
 func (c *Client) open(ctx context.Context, address, path string, message proto.Message) (*Stream, error) {
