Lose answers whose head breaks the grammar of HTTP

Callers saw: an upstream in trouble sent a head in which the name of a field held a blank. Callers got it as a whole 200, on idempotent and other routes; where the name was that of the length or of the encoding, with what followed the head as the body, chunk sizes included, or what had come of it. A line feed before a name was worse: the rest of the head was passed on as the body.

Cause: net/http reads heads leniently: it keeps names with blanks, joins folded lines, ends lines and the head at a bare line feed, doesn't look at the reason, and ignores the encoding of HTTP/1.0, whose chunks are the body then. A framing field that is not read under its name leaves a body that ends with the connection.

Change: exchanger waits for a whole head in its buffer, which grows up to the limit of a head, and validator checks it line by line before net/http parses it: a loss is known with the line that shows it. Names in trailers are checked too. For the clients that use http.Transport the parsed names and the reason are checked, and idle connections closed after a broken answer.

--- a/dialer/broken_test.go
+++ b/dialer/broken_test.go
@@ -29,9 +29,13 @@
 
 // brokenHeads are heads of responses that are no answers, without the line that ends them.
 var brokenHeads = map[string]string{
-	"status 000": "HTTP/1.1 000 OK\r\n",
-	"status 099": "HTTP/1.1 099 OK\r\n",
-	"status 999": "HTTP/1.1 999 OK\r\n",
+	"status 000":                 "HTTP/1.1 000 OK\r\n",
+	"status 099":                 "HTTP/1.1 099 OK\r\n",
+	"status 999":                 "HTTP/1.1 999 OK\r\n",
+	"blank in a name":            "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
+	"blank after a name":         "HTTP/1.1 200 OK\r\nName : x\r\n",
+	"control byte in a name":     "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n",
+	"control byte in the reason": "HTTP/1.1 200 O\x00K\r\n",
 }
 
 func TestBrokenReplyOfServiceIsPassedOn(t *testing.T) {
--- a/exchanger/broken.go
+++ b/exchanger/broken.go
@@ -13,14 +13,20 @@
 // The defects of responses.
 const (
 	DefectStatus Defect = "status" // a status that HTTP does not have
+	DefectHead   Defect = "head"   // another line that the head of a response does not have
 )
 
 // DefectOf returns the defect that an error of Send or of Response.Read reports, and false if
 // it reports none.
 func DefectOf(err error) (Defect, bool) {
 	var status *validator.StatusError
-	if errors.As(err, &status) {
+	var head *validator.HeadError
+	switch {
+	case errors.As(err, &status):
 		return DefectStatus, true
+	case errors.As(err, &head):
+		return DefectHead, true
+	default:
+		return "", false
 	}
-	return "", false
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -258,6 +258,7 @@
 		Unframed:   response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		Notice:     e.codec.Notice(response.Header),
 		body:       response.Body,
+		trailer:    &response.Trailer,
 		conn:       c,
 		pool:       &e.pool,
 		grant:      grant,
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -215,6 +215,28 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 000 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", id)
 		return true
 	}, []string{"incomplete", "incomplete"}, 2},
+	{"name with a blank", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nBad Name: x\r\nContent-Length: 2\r\n\r\nok", id)
+		return true
+	}, []string{"incomplete", "incomplete"}, 2},
+	{"name with a blank in a trailer", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: x\r\n\r\n", id)
+		return true
+	}, []string{"incomplete", "incomplete"}, 2},
+	{"trailer", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nName: x\r\n\r\n", id)
+		return true
+	}, []string{"ok", "ok"}, 1},
+	{"header longer than the buffer", func(c net.Conn, id string) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nLong: %s\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", strings.Repeat("x", 100<<10), id)
+		return true
+	}, []string{"ok", "ok"}, 1},
+	{"header in single bytes, after an interim response", func(c net.Conn, id string) bool {
+		for _, b := range []byte("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok") {
+			_, _ = c.Write([]byte{b})
+		}
+		return true
+	}, []string{"ok", "ok"}, 1},
 	{"duplicate response right after the first", func(c net.Conn, id string) bool {
 		reply(c, id, "ok")
 		if id == "1" {
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -184,6 +184,7 @@
 		return
 	}
 	c.usedBefore = true
+	c.shrink()
 	p.keep(c, h)
 }
 
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/citronpier/citronpier/allocator"
+	"github.com/citronpier/citronpier/validator"
 )
 
 // Response is an upstream's response whose header has arrived. The body is read with
@@ -22,8 +23,10 @@
 	Unframed bool
 
 	body io.ReadCloser
-	conn *conn
-	pool *pool
+	// trailer has the fields after the body once the body was read to its end.
+	trailer *http.Header
+	conn    *conn
+	pool    *pool
 	// grant is the memory of the header.
 	grant *allocator.Grant
 	// stopInterrupt detaches conn from the context of Send. It returns false if
@@ -42,6 +45,9 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF):
+		if err := r.checkEnd(); err != nil {
+			return n, &IncompleteError{Upstream: r.upstreamID, Cause: err}
+		}
 		r.bodyComplete = true
 		return n, io.EOF
 	default:
@@ -49,6 +55,10 @@
 	}
 }
 
+// checkEnd checks what follows the body, which was read to its end. The error is a
+// *validator.HeadError.
+func (r *Response) checkEnd() error { return validator.Fields(*r.trailer) }
+
 // Close returns the connection to the pool if the body was read to io.EOF and
 // the context of Send has not ended. Otherwise it closes the connection.
 func (r *Response) Close() {
--- a/validator/transport.go
+++ b/validator/transport.go
@@ -1,19 +1,23 @@
 package validator
 
-import "net/http"
+import (
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // Transport is an http.RoundTripper that returns no broken responses. The connections of Base
 // are not used again after one.
 type Transport struct{ Base *http.Transport }
 
-// RoundTrip implements http.RoundTripper. The error of a broken response is a *StatusError; the
-// request may have been carried out.
+// RoundTrip implements http.RoundTripper. The error of a broken response is a *StatusError or a
+// *HeadError; the request may have been carried out.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	res, err := t.Base.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	if err := Status(res.StatusCode); err != nil {
+	if err := parsed(res); err != nil {
 		_ = res.Body.Close()
 		t.Base.CloseIdleConnections()
 		return nil, err
@@ -21,5 +25,16 @@
 	return res, nil
 }
 
+// parsed checks what is left of a head after net/http has parsed it.
+func parsed(res *http.Response) error {
+	if err := Status(res.StatusCode); err != nil {
+		return err
+	}
+	if !httpguts.ValidHeaderFieldValue(res.Status) {
+		return newHeadError("no reason phrase", []byte(res.Status))
+	}
+	return Fields(res.Header)
+}
+
 // CloseIdleConnections closes the idle connections of the base, as http.Client expects it.
 func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
