Take no part of an early answer as whole that is reset

Callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Callers got the part as a whole answer, framed with a length, on each kind of route and with each status.

Cause: the operating system reports a reset once, to the read or the write that meets it first. The write of the body takes it, and the read then sees an ordinary end, which ends a body without a length or chunks. The error of the write was looked at only where no head had arrived. http.Transport does the same.

For the clients that use http.Transport, connections wait for a write in progress at their end, and report the error of a failed one in place of the end.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -59,7 +59,7 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &Client{key: key, seeds: hosts, http: &http.Client{Transport: &validator.Transport{Base: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
+		DialContext: validator.Dial(dial), MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
 	}}}}
 }
 
--- a/dialer/broken_test.go
+++ b/dialer/broken_test.go
@@ -1,11 +1,13 @@
 package dialer_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
@@ -74,3 +76,37 @@
 		})
 	}
 }
+
+// afterHead is the time in which the client of a server reads the head of a response.
+const afterHead = 5 * time.Millisecond
+
+// resetEarly starts a server that answers a request before it reads the body, with a response
+// without a length, and resets the connection.
+func resetEarly(t *testing.T, body string) string {
+	t.Helper()
+	s, err := standin.NewRawServer(func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		time.Sleep(afterHead)
+		_, _ = io.WriteString(c, body)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s.Address()
+}
+
+func TestPartOfReplyThatIsResetIsWhole(t *testing.T) {
+	const tries, bodyBytes = 40, 4 << 20
+	for range tries {
+		u := descriptor.Upstream{ID: "u", Address: resetEarly(t, "part")}
+		r := connector.ServiceRequest{Call: "c", Path: "/x", Body: bytes.Repeat([]byte("x"), bodyBytes)}
+		if reply, err := dialer.NewService(dialer.NewDial()).Do(t.Context(), u, r); err == nil {
+			t.Errorf("reply %+v", reply)
+		}
+	}
+}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -31,7 +31,7 @@
 // newTransport returns an HTTP transport that opens its connections with dial.
 func newTransport(dial connector.Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         validator.Dial(dial),
 		MaxIdleConnsPerHost: maxIdlePerAddress,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -63,7 +63,7 @@
 	}
 	if p.http == nil {
 		base := &http.Transport{
-			DialContext:            p.dial,
+			DialContext:            validator.Dial(p.dial),
 			MaxIdleConnsPerHost:    peerConnections,
 			IdleConnTimeout:        peerIdleTimeout,
 			DisableCompression:     true,
--- a/exchanger/broken.go
+++ b/exchanger/broken.go
@@ -14,6 +14,7 @@
 const (
 	DefectStatus Defect = "status" // a status that HTTP does not have
 	DefectHead   Defect = "head"   // another line that the head of a response does not have
+	DefectEnd    Defect = "end"    // an end with the connection, on which a write has failed
 )
 
 // DefectOf returns the defect that an error of Send or of Response.Read reports, and false if
@@ -21,11 +22,14 @@
 func DefectOf(err error) (Defect, bool) {
 	var status *validator.StatusError
 	var head *validator.HeadError
+	var end *validator.EndError
 	switch {
 	case errors.As(err, &status):
 		return DefectStatus, true
 	case errors.As(err, &head):
 		return DefectHead, true
+	case errors.As(err, &end):
+		return DefectEnd, true
 	default:
 		return "", false
 	}
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -351,6 +353,51 @@
 	}
 }
 
+// endedConn is a connection that has ended for reads, with a whole response or a part of one,
+// while a write goes on.
+type endedConn struct {
+	recordedConn
+	// writeError ends the write, after a while.
+	writeError error
+}
+
+func (c endedConn) Write(p []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	if c.writeError != nil {
+		return 1, c.writeError
+	}
+	return len(p), nil
+}
+
+// A response ends with its connection while the request is written. It is complete only if
+// the write succeeds, which is known later.
+func TestResponseEndsBeforeWriteFails(t *testing.T) {
+	for _, c := range []struct {
+		name, head string
+		writeError error
+		want       string
+	}{
+		{"no length, reset", "", syscall.ECONNRESET, "incomplete"},
+		{"no length, timeout", "", os.ErrDeadlineExceeded, "incomplete"},
+		{"no length, written", "", nil, "part"},
+		{"length, reset", "Content-Length: 4\r\n", syscall.ECONNRESET, "part"},
+		{"longer length, reset", "Content-Length: 5\r\n", syscall.ECONNRESET, "incomplete"},
+		{"chunks, reset", "Transfer-Encoding: chunked\r\n", syscall.ECONNRESET, "incomplete"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				response := strings.NewReader("HTTP/1.1 200 OK\r\nId: 1\r\n" + c.head + "\r\npart")
+				return endedConn{recordedConn{response: response}, c.writeError}, nil
+			}
+			a := newAttempt("1", http.MethodPost)
+			a.Request.Body = make([]byte, 1<<20)
+			if diff := cmp.Diff(c.want, send(t, exchanger.New(codec{}, dial), &upstream{}, a)); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // If the connection is refused, the error states that nothing was sent.
 func TestUnsent(t *testing.T) {
 	u := serve(t, func(net.Conn, *http.Request, int) bool { return false })
--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -23,7 +24,7 @@
 // recordedConn is a connection to an upstream that has sent a response and closed.
 type recordedConn struct {
 	net.Conn
-	response *bytes.Reader
+	response io.Reader
 }
 
 func (c recordedConn) Read(p []byte) (int, error)  { return c.response.Read(p) }
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -23,6 +23,8 @@
 	Unframed bool
 
 	body io.ReadCloser
+	// writing is the write of the request.
+	writing *requestWrite
 	// trailer has the fields after the body once the body was read to its end.
 	trailer *http.Header
 	conn    *conn
@@ -55,9 +57,18 @@
 	}
 }
 
-// checkEnd checks what follows the body, which was read to its end. The error is a
-// *validator.HeadError.
-func (r *Response) checkEnd() error { return validator.Fields(*r.trailer) }
+// checkEnd checks the end of the body, which was reached. A body that ends with its connection
+// is complete only if the request was written whole: a write that fails takes the error of a
+// connection that was reset, which then seems to have ended in order. The error is a
+// *validator.EndError or a *validator.HeadError.
+func (r *Response) checkEnd() error {
+	if r.Unframed {
+		if err := r.writing.wait().err; err != nil {
+			return &validator.EndError{Cause: err}
+		}
+	}
+	return validator.Fields(*r.trailer)
+}
 
 // Close returns the connection to the pool if the body was read to io.EOF and
 // the context of Send has not ended. Otherwise it closes the connection.
@@ -87,3 +98,8 @@
 	}
 	return nil
 }
+
+// isUnframed reports whether the body of a response ends with the connection.
+func isUnframed(r *http.Response) bool {
+	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -49,7 +49,7 @@
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		DialContext: dial,
+		DialContext: validator.Dial(dial),
 		Protocols:   &protocols,
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
