Test that heads cut short are no answers

The report: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

--- a/dialer/broken_test.go
+++ b/dialer/broken_test.go
@@ -110,3 +110,22 @@
 		}
 	}
 }
+
+// A service stops inside the head of its reply.
+func TestHeadThatIsCutShortIsReply(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+	for length := range head {
+		s, err := standin.NewRawServer(func(c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, head[:length])
+			return false
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		u := descriptor.Upstream{ID: "u", Address: s.Address()}
+		if reply, err := dialer.NewService(dialer.NewDial()).Do(t.Context(), u, connector.ServiceRequest{Call: "c", Path: "/x"}); err == nil {
+			t.Errorf("after %q: reply %+v", head[:length], reply)
+		}
+		_ = s.Close()
+	}
+}
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -146,3 +146,34 @@
 		checkBrokenIsLost(t, head+"\r\nid: 1\ndata: d1\n\n", "head")
 	})
 }
+
+// The upstream stops inside the head of its answer and closes or resets the connection.
+func TestHeadThatIsCutShortIsAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: id\r\nContent-Type: text/event-stream\r\n\r\n"
+	for _, c := range brokenOutcomes {
+		for name, reset := range map[string]bool{"closed": false, "reset": true} {
+			t.Run(c.name+", "+name, func(t *testing.T) {
+				t.Parallel()
+				for length := range head {
+					f := newFixture()
+					other := f.startUpstream(t, "b", c.normal)
+					f.start(t, c.kind, c.attempts, f.startUpstream(t, "a", c.normal, func(conn net.Conn, _ *http.Request) bool {
+						f.mu.Lock()
+						f.list = f.list.WithUpstream(other, 1, time.Now())
+						f.mu.Unlock()
+						_, _ = io.WriteString(conn, head[:length])
+						if tcp, ok := conn.(*net.TCPConn); ok && reset {
+							_ = tcp.SetLinger(0)
+						}
+						return false
+					}))
+					f.serve(t, request())
+					outcome, body := f.serve(t, request())
+					if diff := cmp.Diff(c.want, []string{outcome, body}); diff != "" {
+						t.Errorf("after %q: outcome and body (-want +got):\n%s", head[:length], diff)
+					}
+				}
+			})
+		}
+	}
+}
