--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -2,9 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,9 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/validator"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes. It holds several
@@ -140,83 +135,6 @@
 	return int(n), err
 }
 
-// readHeader reads the header of the next response and skips interim responses. The method
-// of the request decides whether a body follows. grant is the memory of the header.
-func (c *conn) readHeader(method string, grant *allocator.Grant) (*http.Response, error) {
-	c.header.begin(grant)
-	defer c.header.end()
-	for {
-		if err := c.awaitHead(); err != nil {
-			return nil, err
-		}
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if !validator.IsInterim(response.StatusCode) {
-			return response, nil
-		}
-	}
-}
-
-// awaitHead waits until the head of the next response is in the buffer, and checks it. It reads
-// nothing from the buffer. The error is a *validator.StatusError or a *validator.HeadError as
-// soon as a line is wrong; what follows such a line belongs to no request.
-func (c *conn) awaitHead() error {
-	var head validator.Head
-	// line is where the next line begins in the buffer, and searched where the bytes begin
-	// that were not yet searched for its end.
-	line, searched := 0, 0
-	for {
-		buffered, _ := c.reader.Peek(c.reader.Buffered())
-		length := bytes.IndexByte(buffered[searched:], '\n')
-		if length < 0 {
-			searched = len(buffered)
-			if err := c.fill(); err != nil {
-				return err
-			}
-			continue
-		}
-		end := searched + length + 1
-		if last, err := head.Line(buffered[line:end]); err != nil || last {
-			return err
-		}
-		line, searched = end, end
-	}
-}
-
-// fill reads more of a header into the buffer, which grows if it is full.
-func (c *conn) fill() error {
-	if c.reader.Buffered() == c.reader.Size() {
-		if c.reader.Size() >= maxHeaderBytes {
-			return &HeaderTooLongError{}
-		}
-		c.grow()
-	}
-	_, err := c.reader.Peek(c.reader.Buffered() + 1)
-	if c.header.err != nil {
-		return c.header.err
-	}
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-// grow doubles the read buffer, which is full and keeps its bytes.
-func (c *conn) grow() {
-	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), c.header), 2*c.reader.Size())
-	_, _ = c.reader.Peek(len(buffered))
-}
-
-// shrink returns a read buffer that has grown to its first size. The buffer must be empty.
-func (c *conn) shrink() {
-	if c.reader.Size() > readBuffer {
-		c.reader = bufio.NewReaderSize(c.header, readBuffer)
-	}
-}
-
 // noInputPending reports whether an idle connection has received nothing. Input
 // would be either the end of the connection or bytes that belong to no request;
 // in both cases the connection must not be used again.
