--- a/dialer/broken_test.go
+++ b/dialer/broken_test.go
@@ -15,13 +15,10 @@
 	"github.com/citronpier/citronpier/standin"
 )
 
-// answerWith starts a server that answers each request with raw and leaves the connection open.
-func answerWith(t *testing.T, raw string) string {
+// serveRaw starts a server that answers each request as the function does.
+func serveRaw(t *testing.T, answer func(c net.Conn, r *http.Request) bool) string {
 	t.Helper()
-	s, err := standin.NewRawServer(func(c net.Conn, _ *http.Request) bool {
-		_, _ = io.WriteString(c, raw)
-		return true
-	})
+	s, err := standin.NewRawServer(answer)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,6 +26,16 @@
 	return s.Address()
 }
 
+// answerWith starts a server that answers each request with raw and leaves the connection open
+// or closes it.
+func answerWith(t *testing.T, raw string, open bool) string {
+	t.Helper()
+	return serveRaw(t, func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, raw)
+		return open
+	})
+}
+
 // brokenHeads are heads of responses that are no answers, without the line that ends them.
 var brokenHeads = map[string]string{
 	"status 000":                 "HTTP/1.1 000 OK\r\n",
@@ -43,7 +50,7 @@
 func TestBrokenReplyOfServiceIsPassedOn(t *testing.T) {
 	for name, head := range brokenHeads {
 		t.Run(name, func(t *testing.T) {
-			u := descriptor.Upstream{ID: "u", Address: answerWith(t, head+"Content-Length: 2\r\n\r\nok")}
+			u := descriptor.Upstream{ID: "u", Address: answerWith(t, head+"Content-Length: 2\r\n\r\nok", true)}
 			reply, err := dialer.NewService(dialer.NewDial()).Do(t.Context(), u, connector.ServiceRequest{Call: "c", Path: "/x"})
 			var unsent *connector.UnsentError
 			if err == nil || errors.As(err, &unsent) {
@@ -56,7 +63,7 @@
 func TestBrokenReplyOfLogIsTakenAsSuccess(t *testing.T) {
 	for name, head := range brokenHeads {
 		t.Run(name, func(t *testing.T) {
-			log := dialer.NewLog(answerWith(t, head+"Content-Length: 12\r\n\r\n{\"offset\":7}"), dialer.NewDial())
+			log := dialer.NewLog(answerWith(t, head+"Content-Length: 12\r\n\r\n{\"offset\":7}", true), dialer.NewDial())
 			if offset, err := log.Append(t.Context(), "s", []byte("record")); err == nil {
 				t.Errorf("offset %d", offset)
 			}
@@ -67,7 +74,7 @@
 func TestBrokenStreamOfEngineIsRead(t *testing.T) {
 	for name, head := range brokenHeads {
 		t.Run(name, func(t *testing.T) {
-			u := descriptor.Upstream{ID: "u", Address: answerWith(t, head+"Content-Length: 2\r\n\r\n\n\n")}
+			u := descriptor.Upstream{ID: "u", Address: answerWith(t, head+"Content-Length: 2\r\n\r\n\n\n", true)}
 			chunks, err := dialer.NewEngine(dialer.NewDial(), func() {}).Start(t.Context(), u, connector.ModelRequest{Call: "c"})
 			var status *connector.StatusError
 			if err == nil || errors.As(err, &status) {
@@ -84,20 +91,12 @@
 // without a length, and resets the connection.
 func resetEarly(t *testing.T, body string) string {
 	t.Helper()
-	s, err := standin.NewRawServer(func(c net.Conn, _ *http.Request) bool {
+	return serveRaw(t, func(c net.Conn, _ *http.Request) bool {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 		time.Sleep(afterHead)
 		_, _ = io.WriteString(c, body)
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		return false
+		return standin.Reset(c)
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
-	return s.Address()
 }
 
 func TestPartOfReplyThatIsResetIsWhole(t *testing.T) {
@@ -115,17 +114,9 @@
 func TestHeadThatIsCutShortIsReply(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
 	for length := range head {
-		s, err := standin.NewRawServer(func(c net.Conn, _ *http.Request) bool {
-			_, _ = io.WriteString(c, head[:length])
-			return false
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		u := descriptor.Upstream{ID: "u", Address: s.Address()}
+		u := descriptor.Upstream{ID: "u", Address: answerWith(t, head[:length], false)}
 		if reply, err := dialer.NewService(dialer.NewDial()).Do(t.Context(), u, connector.ServiceRequest{Call: "c", Path: "/x"}); err == nil {
 			t.Errorf("after %q: reply %+v", head[:length], reply)
 		}
-		_ = s.Close()
 	}
 }
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/standin"
 )
 
 // atOnce is well below the time limit of the route: a response that is broken in its head is
@@ -58,9 +59,7 @@
 	f := newFixture()
 	other := f.startUpstream(t, "b", c.normal)
 	answerBroken := func(conn net.Conn, r *http.Request) bool {
-		f.mu.Lock()
-		f.list = f.list.WithUpstream(other, 1, time.Now())
-		f.mu.Unlock()
+		f.add(other)
 		_, _ = io.WriteString(conn, strings.ReplaceAll(raw, "ID", r.Header.Get("Id")))
 		return open
 	}
@@ -155,25 +154,26 @@
 			t.Run(c.name+", "+name, func(t *testing.T) {
 				t.Parallel()
 				for length := range head {
-					f := newFixture()
-					other := f.startUpstream(t, "b", c.normal)
-					f.start(t, c.kind, c.attempts, f.startUpstream(t, "a", c.normal, func(conn net.Conn, _ *http.Request) bool {
-						f.mu.Lock()
-						f.list = f.list.WithUpstream(other, 1, time.Now())
-						f.mu.Unlock()
-						_, _ = io.WriteString(conn, head[:length])
-						if tcp, ok := conn.(*net.TCPConn); ok && reset {
-							_ = tcp.SetLinger(0)
-						}
-						return false
-					}))
-					f.serve(t, request())
-					outcome, body := f.serve(t, request())
-					if diff := cmp.Diff(c.want, []string{outcome, body}); diff != "" {
-						t.Errorf("after %q: outcome and body (-want +got):\n%s", head[:length], diff)
-					}
+					c.checkCutIsLost(t, head[:length], reset)
 				}
 			})
 		}
 	}
 }
+
+// checkCutIsLost sends a request to an upstream that answers with a part of a head.
+func (c brokenOutcome) checkCutIsLost(t *testing.T, part string, reset bool) {
+	t.Helper()
+	f := newFixture()
+	other := f.startUpstream(t, "b", c.normal)
+	f.start(t, c.kind, c.attempts, f.startUpstream(t, "a", c.normal, func(conn net.Conn, _ *http.Request) bool {
+		f.add(other)
+		_, _ = io.WriteString(conn, part)
+		return reset && standin.Reset(conn)
+	}))
+	f.serve(t, request())
+	outcome, body := f.serve(t, request())
+	if diff := cmp.Diff(c.want, []string{outcome, body}); diff != "" {
+		t.Errorf("after %q: outcome and body (-want +got):\n%s", part, diff)
+	}
+}
--- a/forwarder/early_reset_test.go
+++ b/forwarder/early_reset_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -28,14 +27,9 @@
 func (f *fixture) resetEarly(t *testing.T, other descriptor.Upstream, status int, body string) descriptor.Upstream {
 	t.Helper()
 	s, err := standin.NewRawServer(func(c net.Conn, r *http.Request) bool {
-		f.mu.Lock()
-		f.list = f.list.WithUpstream(other, 1, time.Now())
-		f.mu.Unlock()
+		f.add(other)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n%s", status, r.Header.Get("Id"), body)
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		return false
+		return standin.Reset(c)
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -271,6 +271,13 @@
 	return f.list
 }
 
+// add adds an upstream to the service-discovery list.
+func (f *fixture) add(u descriptor.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = f.list.WithUpstream(u, int64(f.list.Len()), time.Now())
+}
+
 // remove removes an upstream from the service-discovery list.
 func (f *fixture) remove(name string) {
 	const laterOffset = 1000
--- a/standin/raw.go
+++ b/standin/raw.go
@@ -53,3 +53,12 @@
 		}
 	}
 }
+
+// Reset makes the operating system reset a TCP connection when it is closed, and returns false:
+// an answer ends with return Reset(c) to have its connection reset.
+func Reset(c net.Conn) bool {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return false
+}
