Name answers whose fields frame no body as broken

Lengths that differ or are no numbers, and encodings that are not known, lost the answer before: net/http refuses them. The counters said upstream, as for a closed connection, and no line of the log told them apart. They count as answer_head now.

TestHeadThatIsNoneIsAnswer has six such forms; their outcomes held before.

--- a/exchanger/broken.go
+++ b/exchanger/broken.go
@@ -13,7 +13,7 @@
 // The defects of responses.
 const (
 	DefectStatus Defect = "status" // a status that HTTP does not have
-	DefectHead   Defect = "head"   // another line that the head of a response does not have
+	DefectHead   Defect = "head"   // another line that no head of a response has, or fields that frame no body
 	DefectEnd    Defect = "end"    // an end with the connection, on which a write has failed
 )
 
@@ -22,11 +22,12 @@
 func DefectOf(err error) (Defect, bool) {
 	var status *validator.StatusError
 	var head *validator.HeadError
+	var framing *FramingError
 	var end *validator.EndError
 	switch {
 	case errors.As(err, &status):
 		return DefectStatus, true
-	case errors.As(err, &head):
+	case errors.As(err, &head), errors.As(err, &framing):
 		return DefectHead, true
 	case errors.As(err, &end):
 		return DefectEnd, true
--- a/exchanger/errors.go
+++ b/exchanger/errors.go
@@ -61,6 +61,17 @@
 	return fmt.Sprintf("response with status %d has no proof that the upstream produced it", e.Status)
 }
 
+// FramingError reports a head whose fields do not tell where the body ends.
+type FramingError struct{ Cause error }
+
+// Error implements the error interface.
+func (e *FramingError) Error() string {
+	return "head of the response frames no body: " + e.Cause.Error()
+}
+
+// Unwrap returns what is wrong with the fields.
+func (e *FramingError) Unwrap() error { return e.Cause }
+
 // MisdeliveredError reports a response that belongs to another request. RequestID is the
 // request id in the response. An empty RequestID means that the response was being
 // discarded and its body was too long.
--- a/exchanger/header.go
+++ b/exchanger/header.go
@@ -81,7 +81,7 @@
 		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, &FramingError{Cause: err}
 		}
 		if !validator.IsInterim(response.StatusCode) {
 			return response, nil
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -132,6 +132,12 @@
 	"status with a sign":                   "HTTP/1.1 +20 OK\r\nId: ID\r\nContent-Length: 2\r\n",
 	"another version":                      "HTTP/2.0 200 OK\r\nId: ID\r\nContent-Length: 2\r\n",
 	"chunks in HTTP/1.0":                   "HTTP/1.0 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n",
+	"two lengths":                          "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\nContent-Length: 3\r\n",
+	"length with a sign":                   "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: +2\r\n",
+	"length without a value":               "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length:\r\n",
+	"list of lengths":                      "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2, 2\r\n",
+	"unknown encoding":                     "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: x, chunked\r\n",
+	"two encodings":                        "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
 	"in an interim response":               "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n",
 }
 
