--- a/counter/counter.go
+++ b/counter/counter.go
@@ -59,7 +59,7 @@
 	RetryRefused       Retry = "refused"  // the upstream replied that it did not run the request
 	RetryUnsent        Retry = "unsent"   // the request did not reach the upstream
 	RetryMemory        Retry = "memory"   // the response exceeded its share of the memory for responses
-	RetryBroken        Retry = "broken"   // the bytes of the upstream were no response
+	RetryBroken        Retry = "broken"   // the response was broken, see exchanger.Defect
 	RetryOverdue       Retry = "overdue"  // the response did not begin within its time limit
 	RetryFallbackShard Retry = "aside"    // a turn was recorded in a fallback shard
 	RetryDenied        Retry = "denied"   // the request was not sent again: the host's retries were used up
--- a/exchanger/broken.go
+++ b/exchanger/broken.go
@@ -6,8 +6,8 @@
 	"github.com/citronpier/citronpier/validator"
 )
 
-// Defect is the metrics label for what is wrong with a broken response: one whose bytes are no
-// response in HTTP. Such a response is lost, whatever its status says.
+// Defect is the metrics label for what is wrong with a broken response: its head is none in
+// HTTP, or its end may be that of a part. Such a response is lost, whatever its status says.
 type Defect string
 
 // The defects of responses.
--- a/validator/head.go
+++ b/validator/head.go
@@ -12,7 +12,7 @@
 type HeadError struct {
 	// Problem says what is wrong with the line.
 	Problem string
-	// Line is the start of the line, and empty if it is not known.
+	// Line is the start of the line, or the name of the field.
 	Line string
 }
 
--- a/validator/transport.go
+++ b/validator/transport.go
@@ -6,8 +6,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// Transport is an http.RoundTripper that returns no broken responses. The connections of Base
-// are not used again after one.
+// Transport is an http.RoundTripper that returns no broken responses, as far as a parsed head
+// shows them. The connections of Base are not used again after one. Base must be set; Dial opens
+// its connections.
 type Transport struct{ Base *http.Transport }
 
 // RoundTrip implements http.RoundTripper. The error of a broken response is a *StatusError or a
