Close the connections of test upstreams when their test ends

The heap profile shows 80 of 86 MB in the bodies that the test upstreams of TestPartOfEarlyAnswerThatIsResetIsWhole had read: the goroutines of their open connections kept each fixture after its test. The product holds none of it.

--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -178,6 +179,8 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
+				// An open connection would keep the fixture, with all bodies, after the test.
+				defer context.AfterFunc(t.Context(), func() { _ = c.Close() })()
 				reader := bufio.NewReader(c)
 				for {
 					r, err := http.ReadRequest(reader)
--- a/standin/raw.go
+++ b/standin/raw.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"sync"
 )
 
 // RawServer answers requests with bytes that need not be HTTP. It reads the head of a request
@@ -11,6 +12,10 @@
 type RawServer struct {
 	listener net.Listener
 	answer   func(c net.Conn, r *http.Request) (open bool)
+
+	mu sync.Mutex
+	// connections are the open connections; nil once the server is closed.
+	connections map[net.Conn]bool
 }
 
 // NewRawServer starts a server on the loopback interface. answer writes the answer to a request
@@ -20,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &RawServer{listener: listener, answer: answer}
+	s := &RawServer{listener: listener, answer: answer, connections: make(map[net.Conn]bool)}
 	go s.accept()
 	return s, nil
 }
@@ -28,8 +33,16 @@
 // Address returns the address of the server, host:port.
 func (s *RawServer) Address() string { return s.listener.Addr().String() }
 
-// Close stops the server. Open connections go on.
-func (s *RawServer) Close() error { return s.listener.Close() }
+// Close stops the server and closes its connections.
+func (s *RawServer) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		_ = c.Close()
+	}
+	s.connections = nil
+	return s.listener.Close()
+}
 
 // accept serves connections until the server is closed.
 func (s *RawServer) accept() {
@@ -44,7 +57,10 @@
 
 // serve answers the requests of one connection.
 func (s *RawServer) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer s.end(c)
+	if !s.begin(c) {
+		return
+	}
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -54,6 +70,25 @@
 	}
 }
 
+// begin keeps an open connection. It returns false if the server is closed.
+func (s *RawServer) begin(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connections == nil {
+		return false
+	}
+	s.connections[c] = true
+	return true
+}
+
+// end closes a connection.
+func (s *RawServer) end(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = c.Close()
+	delete(s.connections, c)
+}
+
 // Reset makes the operating system reset a TCP connection when it is closed, and returns false:
 // an answer ends with return Reset(c) to have its connection reset.
 func Reset(c net.Conn) bool {
