--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -103,3 +103,22 @@
 	}
 	return set
 }
+
+// A response ends inside its head, after each of its bytes.
+func TestResponseEndsInItsHead(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nName: x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+	} {
+		for length := range head {
+			if response, err := sendRecorded(t.Context(), []byte(head[:length])); err == nil {
+				t.Errorf("after %q: status %d", head[:length], response.Status)
+			}
+		}
+		if _, err := sendRecorded(t.Context(), []byte(head)); err != nil {
+			t.Errorf("%q: %v", head, err)
+		}
+	}
+}
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -152,15 +152,23 @@
 	})
 }
 
+// partsOfHeads are parts of a head, one for each place in its grammar. exchanger has a test with
+// all parts.
+var partsOfHeads = []string{
+	"", "HTT", "HTTP/1.1", "HTTP/1.1 20", "HTTP/1.1 200", "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r", "HTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 200 OK\r\nI", "HTTP/1.1 200 OK\r\nId:", "HTTP/1.1 200 OK\r\nId: id", "HTTP/1.1 200 OK\r\nId: id\r\n",
+	"HTTP/1.1 200 OK\r\nId: id\r\nContent-Length: 2", "HTTP/1.1 200 OK\r\nId: id\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 200 OK\r\nId: id\r\nContent-Type: text/event-stream\r\n\r",
+}
+
 // The upstream stops inside the head of its answer and closes or resets the connection.
 func TestHeadThatIsCutShortIsAnswer(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nId: id\r\nContent-Type: text/event-stream\r\n\r\n"
 	for _, c := range brokenOutcomes {
 		for name, reset := range map[string]bool{"closed": false, "reset": true} {
 			t.Run(c.name+", "+name, func(t *testing.T) {
 				t.Parallel()
-				for length := range head {
-					c.checkCutIsLost(t, head[:length], reset)
+				for _, part := range partsOfHeads {
+					c.checkCutIsLost(t, part, reset)
 				}
 			})
 		}
