Check the heads that clients of http.Transport read, before they are parsed

Callers saw: nothing yet; listed as open in the postmortem. A plain service's answer with a folded line, a line feed before a name, line feeds alone or chunks in HTTP/1.0 was passed on, with chunk sizes or a part of the head as its body; the log's was a success.

Cause: fixed at the wrong depth. validator.Transport looked at what net/http had parsed, where these lines are joined, ended or dropped already. And each client had to wrap both its dial and its transport, so that one could be forgotten.

They must be known to be lost within 2 s, with the connection left open.

Change: NewTransport wraps both.

--- a/dialer/broken_test.go
+++ b/dialer/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -45,13 +46,34 @@
 	"blank after a name":         "HTTP/1.1 200 OK\r\nName : x\r\n",
 	"control byte in a name":     "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n",
 	"control byte in the reason": "HTTP/1.1 200 O\x00K\r\n",
+	"folded line":                "HTTP/1.1 200 OK\r\nName: x\r\n Name: x\r\n",
+	"blank before the length":    "HTTP/1.1 200 OK\r\nName: x\r\n Content-Length: 9\r\n",
+	"line feed before a name":    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\n",
+	"line feeds alone":           "HTTP/1.1 200 OK\nName: x\n",
+	"chunks in HTTP/1.0":         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	"in an interim response":     "HTTP/1.1 103 Early Hints\r\nName: x\r\n Name: x\r\n\r\nHTTP/1.1 200 OK\r\n",
+}
+
+// atOnce returns a context for a call whose response is known to be lost when it has arrived. A
+// response that is waited for is reported.
+func atOnce(t *testing.T) context.Context {
+	t.Helper()
+	const limit = 2 * time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	t.Cleanup(func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			t.Error("the response was waited for")
+		}
+	})
+	return ctx
 }
 
 func TestBrokenReplyOfServiceIsPassedOn(t *testing.T) {
 	for name, head := range brokenHeads {
 		t.Run(name, func(t *testing.T) {
 			u := descriptor.Upstream{ID: "u", Address: answerWith(t, head+"Content-Length: 2\r\n\r\nok", true)}
-			reply, err := dialer.NewService(dialer.NewDial()).Do(t.Context(), u, connector.ServiceRequest{Call: "c", Path: "/x"})
+			reply, err := dialer.NewService(dialer.NewDial()).Do(atOnce(t), u, connector.ServiceRequest{Call: "c", Path: "/x"})
 			var unsent *connector.UnsentError
 			if err == nil || errors.As(err, &unsent) {
 				t.Errorf("reply %+v, error %v", reply, err)
@@ -64,7 +86,7 @@
 	for name, head := range brokenHeads {
 		t.Run(name, func(t *testing.T) {
 			log := dialer.NewLog(answerWith(t, head+"Content-Length: 12\r\n\r\n{\"offset\":7}", true), dialer.NewDial())
-			if offset, err := log.Append(t.Context(), "s", []byte("record")); err == nil {
+			if offset, err := log.Append(atOnce(t), "s", []byte("record")); err == nil {
 				t.Errorf("offset %d", offset)
 			}
 		})
@@ -75,7 +97,7 @@
 	for name, head := range brokenHeads {
 		t.Run(name, func(t *testing.T) {
 			u := descriptor.Upstream{ID: "u", Address: answerWith(t, head+"Content-Length: 2\r\n\r\n\n\n", true)}
-			chunks, err := dialer.NewEngine(dialer.NewDial(), func() {}).Start(t.Context(), u, connector.ModelRequest{Call: "c"})
+			chunks, err := dialer.NewEngine(dialer.NewDial(), func() {}).Start(atOnce(t), u, connector.ModelRequest{Call: "c"})
 			var status *connector.StatusError
 			if err == nil || errors.As(err, &status) {
 				t.Errorf("chunks %v, error %v", chunks, err)
--- a/validator/transport_test.go
+++ b/validator/transport_test.go
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = s.Close() }()
-	client := http.Client{Transport: &validator.Transport{Base: &http.Transport{}}}
+	client := http.Client{Transport: validator.NewTransport(&http.Transport{})}
 	for _, path := range []string{"/whole", "/broken", "/whole"} {
 		res, err := client.Get("http://" + s.Address() + path)
 		var head *validator.HeadError
