--- a/dialer/broken_test.go
+++ b/dialer/broken_test.go
@@ -13,25 +13,14 @@
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/dialer"
-	"github.com/citronpier/citronpier/standin"
+	"github.com/citronpier/citronpier/internal/responder"
 )
 
-// serveRaw starts a server that answers each request as the function does.
-func serveRaw(t *testing.T, answer func(c net.Conn, r *http.Request) bool) string {
-	t.Helper()
-	s, err := standin.NewRawServer(answer)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
-	return s.Address()
-}
-
 // answerWith starts a server that answers each request with raw and leaves the connection open
 // or closes it.
 func answerWith(t *testing.T, raw string, open bool) string {
 	t.Helper()
-	return serveRaw(t, func(c net.Conn, _ *http.Request) bool {
+	return responder.Serve(t, func(c net.Conn, _ *http.Request) bool {
 		_, _ = io.WriteString(c, raw)
 		return open
 	})
@@ -113,11 +102,11 @@
 // without a length, and resets the connection.
 func resetEarly(t *testing.T, body string) string {
 	t.Helper()
-	return serveRaw(t, func(c net.Conn, _ *http.Request) bool {
+	return responder.Serve(t, func(c net.Conn, _ *http.Request) bool {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 		time.Sleep(afterHead)
 		_, _ = io.WriteString(c, body)
-		return standin.Reset(c)
+		return responder.Reset(c)
 	})
 }
 
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -19,7 +19,7 @@
 	"github.com/citronpier/citronpier/connector"
 	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/exchanger"
-	"github.com/citronpier/citronpier/standin"
+	"github.com/citronpier/citronpier/internal/responder"
 )
 
 // codec is the exchanger.Codec of the test upstreams: the header Id carries the
@@ -154,7 +154,7 @@
 			u := serve(t, func(c net.Conn, r *http.Request, number int) bool {
 				arrived.Add(1)
 				if number == 1 {
-					return standin.Reset(c)
+					return responder.Reset(c)
 				}
 				reply(c, r.Header.Get("Id"), "ok")
 				return true
--- a/exchanger/response_test.go
+++ b/exchanger/response_test.go
@@ -15,7 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/citronpier/citronpier/exchanger"
-	"github.com/citronpier/citronpier/standin"
+	"github.com/citronpier/citronpier/internal/responder"
 )
 
 // responseCases are the ways in which an upstream answers two requests in a row.
@@ -45,7 +45,7 @@
 	{"connection reset within the body", func(c net.Conn, id string) bool {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nok", id)
 		time.Sleep(20 * time.Millisecond)
-		return standin.Reset(c)
+		return responder.Reset(c)
 	}, []string{"incomplete", "incomplete"}, 2},
 	{"malformed response", func(c net.Conn, _ string) bool {
 		_, _ = io.WriteString(c, "!!\r\n\r\n")
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -12,7 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/standin"
+	"github.com/citronpier/citronpier/internal/responder"
 )
 
 // atOnce is well below the time limit of the route: a response that is broken in its head is
@@ -183,7 +183,7 @@
 	f.start(t, c.kind, c.attempts, f.startUpstream(t, "a", c.normal, func(conn net.Conn, _ *http.Request) bool {
 		f.add(other)
 		_, _ = io.WriteString(conn, part)
-		return reset && standin.Reset(conn)
+		return reset && responder.Reset(conn)
 	}))
 	f.serve(t, request())
 	outcome, body := f.serve(t, request())
--- a/forwarder/early_reset_test.go
+++ b/forwarder/early_reset_test.go
@@ -14,7 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/standin"
+	"github.com/citronpier/citronpier/internal/responder"
 )
 
 const (
@@ -64,7 +64,7 @@
 				f.start(t, c.kind, c.attempts, startRaw(t, func(conn net.Conn, r *http.Request) bool {
 					f.add(other)
 					_, _ = io.WriteString(conn, earlyPart(c.status, r.Header.Get("Id")))
-					return standin.Reset(conn)
+					return responder.Reset(conn)
 				}))
 				outcome, body := f.serve(t, upload())
 				if diff := cmp.Diff(c.want, []string{outcome, body}); diff != "" {
@@ -119,12 +119,7 @@
 // startRaw starts an upstream that does not read the bodies of requests.
 func startRaw(t *testing.T, answer script) descriptor.Upstream {
 	t.Helper()
-	s, err := standin.NewRawServer(answer)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
-	return descriptor.Upstream{ID: "early", Address: s.Address(), Service: "s", Slots: 4}
+	return descriptor.Upstream{ID: "early", Address: responder.Serve(t, answer), Service: "s", Slots: 4}
 }
 
 // An upstream that answers before it has read a long upload may end its answer without a length
--- a/forwarder/unframed_test.go
+++ b/forwarder/unframed_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/standin"
+	"github.com/citronpier/citronpier/internal/responder"
 )
 
 // streamUnframed returns a script that streams the events 1 to 3, after the one that the
@@ -83,7 +83,7 @@
 	f := newFixture()
 	f.start(t, descriptor.Once{}, 1, f.startUpstream(t, "a", func(c net.Conn, r *http.Request) bool {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nok", r.Header.Get("Id"))
-		return standin.Reset(c)
+		return responder.Reset(c)
 	}))
 	if outcome, _ := f.serve(t, request()); outcome != lost {
 		t.Errorf("outcome %s, want %s", outcome, lost)
--- a/standin/raw.go
+++ b/internal/responder/responder.go
@@ -1,51 +1,55 @@
-package standin
+// Package responder is a server for tests whose answers need not be HTTP.
+package responder
 
 import (
 	"bufio"
 	"net"
 	"net/http"
 	"sync"
+	"testing"
 )
 
-// RawServer answers requests with bytes that need not be HTTP. It reads the head of a request
-// before the answer, and not its body.
-type RawServer struct {
-	listener net.Listener
-	answer   func(c net.Conn, r *http.Request) (open bool)
-
-	mu sync.Mutex
-	// connections are the open connections; nil once the server is closed.
-	connections map[net.Conn]bool
-}
+// Answer writes the answer to a request and reports whether the connection stays open. The head
+// of the request was read, and its body can be.
+type Answer = func(c net.Conn, r *http.Request) (open bool)
 
-// NewRawServer starts a server on the loopback interface. answer writes the answer to a request
-// and reports whether the connection stays open; the body of the request can be read then.
-func NewRawServer(answer func(c net.Conn, r *http.Request) (open bool)) (*RawServer, error) {
+// Serve answers requests on the loopback interface until the test ends, and returns the address,
+// host:port.
+func Serve(t testing.TB, answer Answer) string {
+	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		t.Fatal(err)
 	}
-	s := &RawServer{listener: listener, answer: answer, connections: make(map[net.Conn]bool)}
+	s := &server{listener: listener, answer: answer, connections: make(map[net.Conn]bool)}
+	t.Cleanup(s.close)
 	go s.accept()
-	return s, nil
+	return listener.Addr().String()
 }
 
-// Address returns the address of the server, host:port.
-func (s *RawServer) Address() string { return s.listener.Addr().String() }
+// server serves the connections of one listener.
+type server struct {
+	listener net.Listener
+	answer   Answer
+
+	mu sync.Mutex
+	// connections are the open connections; nil once the server is closed.
+	connections map[net.Conn]bool
+}
 
-// Close stops the server and closes its connections.
-func (s *RawServer) Close() error {
+// close stops the server and closes its connections.
+func (s *server) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	_ = s.listener.Close()
 	for c := range s.connections {
 		_ = c.Close()
 	}
 	s.connections = nil
-	return s.listener.Close()
 }
 
 // accept serves connections until the server is closed.
-func (s *RawServer) accept() {
+func (s *server) accept() {
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
@@ -56,7 +60,7 @@
 }
 
 // serve answers the requests of one connection.
-func (s *RawServer) serve(c net.Conn) {
+func (s *server) serve(c net.Conn) {
 	defer s.end(c)
 	if !s.begin(c) {
 		return
@@ -71,7 +75,7 @@
 }
 
 // begin keeps an open connection. It returns false if the server is closed.
-func (s *RawServer) begin(c net.Conn) bool {
+func (s *server) begin(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.connections == nil {
@@ -82,7 +86,7 @@
 }
 
 // end closes a connection.
-func (s *RawServer) end(c net.Conn) {
+func (s *server) end(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_ = c.Close()
--- a/validator/transport_test.go
+++ b/validator/transport_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/citronpier/citronpier/standin"
+	"github.com/citronpier/citronpier/internal/responder"
 	"github.com/citronpier/citronpier/validator"
 )
 
@@ -20,7 +20,7 @@
 func TestConnectionIsUsedAfterBrokenResponse(t *testing.T) {
 	var mu sync.Mutex
 	var connections []string
-	s, err := standin.NewRawServer(func(c net.Conn, r *http.Request) bool {
+	address := responder.Serve(t, func(c net.Conn, r *http.Request) bool {
 		mu.Lock()
 		connections = append(connections, c.RemoteAddr().String())
 		mu.Unlock()
@@ -31,13 +31,9 @@
 		_, _ = io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
 		return true
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = s.Close() }()
 	client := http.Client{Transport: validator.NewTransport(&http.Transport{})}
 	for _, path := range []string{"/whole", "/broken", "/whole"} {
-		res, err := client.Get("http://" + s.Address() + path)
+		res, err := client.Get("http://" + address + path)
 		var head *validator.HeadError
 		if broken := errors.As(err, &head); broken != strings.Contains(path, "broken") {
 			t.Errorf("%s: %v", path, err)
