--- a/caller/caller.go
+++ b/caller/caller.go
@@ -58,9 +58,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{key: key, seeds: hosts, http: &http.Client{Transport: validator.NewTransport(&http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
-	})}}
+	return &Client{key: key, seeds: hosts, http: &http.Client{Transport: &validator.Transport{Base: &http.Transport{
+		DialContext: validator.Dial(dial), MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
+	}}}}
 }
 
 // Failure is a host's refusal of a request.
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -31,7 +31,7 @@
 // newTransport returns an HTTP transport that opens its connections with dial.
 func newTransport(dial connector.Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         validator.Dial(dial),
 		MaxIdleConnsPerHost: maxIdlePerAddress,
 		IdleConnTimeout:     time.Minute,
 	}
@@ -39,7 +39,7 @@
 
 // newClient returns an HTTP client that returns no broken responses.
 func newClient(t *http.Transport) *http.Client {
-	return &http.Client{Transport: validator.NewTransport(t)}
+	return &http.Client{Transport: &validator.Transport{Base: t}}
 }
 
 // StatusError reports a response of the platform or of an engine with a status of 300 or
--- a/entry_peers.go
+++ b/entry_peers.go
@@ -63,13 +63,13 @@
 	}
 	if p.http == nil {
 		base := &http.Transport{
-			DialContext:            p.dial,
+			DialContext:            validator.Dial(p.dial),
 			MaxIdleConnsPerHost:    peerConnections,
 			IdleConnTimeout:        peerIdleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: peerHeaderBytes,
 		}
-		p.http = &http.Client{Transport: &allocator.Transport{Pool: p.memory, Base: validator.NewTransport(base)}}
+		p.http = &http.Client{Transport: &allocator.Transport{Pool: p.memory, Base: &validator.Transport{Base: base}}}
 		p.clients = make(map[string]peerClient)
 	}
 	url := "http://" + address
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -49,11 +49,11 @@
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		DialContext: dial,
+		DialContext: validator.Dial(dial),
 		Protocols:   &protocols,
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
-	return &Client{key: key, http: &http.Client{Transport: validator.NewTransport(transport)}}
+	return &Client{key: key, http: &http.Client{Transport: &validator.Transport{Base: transport}}}
 }
 
 // Do adds the shared key to a request and sends it. It implements the HTTP client
--- a/validator/conn.go
+++ b/validator/conn.go
@@ -1,7 +1,6 @@
 package validator
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -26,22 +25,32 @@
 // Unwrap returns the error of the write.
 func (e *EndError) Unwrap() error { return e.Cause }
 
-// conn is a connection of a Transport. It checks the heads of responses before http.Transport
-// reads them, and a reset is not read as an ordinary end: the operating system reports a reset
-// once, to the read or to the write that meets it first, and after a failed write http.Transport
-// would take a body that ends with its connection as complete.
+// Dial returns a function that opens connections with dial, on which a reset is not read as an
+// ordinary end. The operating system reports a reset once, to the read or to the write that meets
+// it first; after a failed write, http.Transport would take a body that ends with its connection
+// as complete.
+func Dial(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+}
+
+// conn is a connection that Dial opens.
 type conn struct {
 	net.Conn
-	heads headStream
-	// writing is held during a write. failure is the first error of a write.
-	writing sync.Mutex
+	// mu is held during a write. failure is the first error of a write.
+	mu      sync.Mutex
 	failure error
 }
 
 // Write implements io.Writer.
 func (c *conn) Write(p []byte) (int, error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	if c.failure == nil {
 		c.failure = err
@@ -49,60 +58,17 @@
 	return n, err
 }
 
-// Read implements io.Reader. The error of a broken head is a *StatusError or a *HeadError. At the
-// end of the connection Read waits for the write in progress, and returns an *EndError if a
-// write has failed.
+// Read implements io.Reader. At the end of the connection it waits for the write in progress, and
+// returns an *EndError if a write has failed.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if headErr := c.heads.push(p[:n]); headErr != nil {
-		return 0, headErr
-	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	c.writing.Lock()
-	defer c.writing.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.failure != nil {
 		return n, &EndError{Cause: c.failure}
 	}
 	return n, err
 }
-
-// headStream checks the heads of the responses to one request, the interim ones and the last, in
-// what is read from a connection. The zero value expects no head. It is safe for concurrent use.
-type headStream struct {
-	mu       sync.Mutex
-	expected bool
-	head     Head
-	// line is the beginning of a line whose end was not read yet.
-	line []byte
-}
-
-// begin expects the response to a new request.
-func (s *headStream) begin() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expected, s.head, s.line = true, Head{}, nil
-}
-
-// push checks the next bytes. The error is that of Head.Line.
-func (s *headStream) push(p []byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for s.expected && len(p) > 0 {
-		end := bytes.IndexByte(p, '\n') + 1
-		if end == 0 {
-			s.line = append(s.line, p...)
-			return nil
-		}
-		last, err := s.head.Line(append(s.line, p[:end]...))
-		if err != nil {
-			return err
-		}
-		if last {
-			s.expected, s.head = s.head.Interim(), Head{}
-		}
-		s.line, p = s.line[:0], p[end:]
-	}
-	return nil
-}
--- a/validator/head.go
+++ b/validator/head.go
@@ -36,13 +36,8 @@
 	begun bool
 	// minor is the minor version of the response, as a digit.
 	minor byte
-	// status is the status code; 0 before the status line.
-	status int
 }
 
-// Interim reports whether another response to the same request follows.
-func (h *Head) Interim() bool { return IsInterim(h.status) }
-
 // Line checks the next line, which ends with a line feed. It reports whether the line ends the
 // head. The error is a *StatusError or a *HeadError.
 func (h *Head) Line(line []byte) (last bool, err error) {
@@ -76,17 +71,18 @@
 	if !isDigit(h.minor) {
 		return newHeadError("no version", line)
 	}
+	code := 0
 	for _, c := range line[codeBegin:codeEnd] {
 		if !isDigit(c) {
 			return newHeadError("no status code", line)
 		}
-		h.status = h.status*10 + int(c-'0')
+		code = code*10 + int(c-'0')
 	}
 	reason := line[codeEnd:]
 	if len(reason) > 0 && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason)) {
 		return newHeadError("no reason phrase", line)
 	}
-	return Status(h.status)
+	return Status(code)
 }
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
