Log which turns an abandoned append held, and the size of kept turns

The log could not tell why: 'append abandoned' named no turn, and the line of the request had no size. From an id to the cause took reading code. Now 'append abandoned' has the ids of the turns and their bytes, the line of a request the bytes of input and output of a turn that is kept.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -55,6 +55,8 @@
 	admission admission
 	// memory is what the request keeps of responses.
 	memory *allocator.Grant
+	// turn is the part of the state that concerns the program; nil unless the response is a stream.
+	turn *turn
 
 	// caller is done when the caller has disconnected or the deadline has passed.
 	caller context.Context
@@ -113,6 +115,9 @@
 	if e.request.Budget > 0 {
 		event = event.Int64("budget", e.request.Budget).Int64("most", e.request.MaxTokens).Int64("generated", e.generated)
 	}
+	if e.turn != nil && e.turn.kind.Retain {
+		event = event.Int("input", len(e.turn.input)).Int("output", len(e.turn.output))
+	}
 	if e.request.LastEvent != "" {
 		event = event.Str("after", e.request.LastEvent).Str("resumes", e.request.Resumes)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -20,6 +20,7 @@
 // serveStream serves a request whose response is a stream of server-sent events.
 func (e *exchange) serveStream(ctx context.Context, kind descriptor.Stream) Outcome {
 	t := &turn{kind: kind, input: e.request.Body}
+	e.turn = t
 	defer t.release()
 	if o := e.beginTurn(ctx, t); o != nil {
 		return o
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -120,6 +120,29 @@
 	}
 }
 
+// estimatedBytes returns the approximate size of the records of changes together.
+func estimatedBytes(changes []*change) int {
+	size := 0
+	for _, c := range changes {
+		size += c.estimatedBytes()
+	}
+	return size
+}
+
+// turnIDs returns the ids of the turns that changes record, for logs.
+func turnIDs(changes []*change) []string {
+	var ids []string
+	for _, c := range changes {
+		switch k := c.kind.(type) {
+		case turnChange:
+			ids = append(ids, k.turn.GetId())
+		case rewriteTurnChange:
+			ids = append(ids, k.turn.GetId())
+		}
+	}
+	return ids
+}
+
 // addTo adds the change's record to a batch. The caller holds the shard's mu.
 func (c *change) addTo(to *batch, s *shard) {
 	b := to.message
--- a/keeper/writer.go
+++ b/keeper/writer.go
@@ -115,7 +115,8 @@
 		return
 	}
 	if err != nil {
-		s.logger.Error().Err(err).Int("changes", len(changes)).Msg("append abandoned")
+		s.logger.Error().Err(err).Int("changes", len(changes)).Int("bytes", estimatedBytes(changes)).Strs("turns", turnIDs(changes)).
+			Msg("append abandoned")
 	}
 	s.forgetPendingTurns(changes)
 	for _, c := range changes {
