Give back the place of large turns that are not recorded

What callers saw: large kept turns are refused as not run, 'the memory for large turns is used up', though those before them were refused by their home, found no upstream or were cut, and are kept nowhere.

Cause, by reading and shown by the test: the entry host counts the input of a large turn for the whole retention from before it asks the home on, whatever becomes of the turn.

Change: allocator.Window hands out additions that can be withdrawn. The place of a turn is given back unless a home was asked to record it: after that, the record may exist, although its reply is lost. Retry-After stays short: another entry host may have room, and callers come back to another one.

TestLargeTurnThatIsNotRecordedKeepsItsPlace: 3 of 3 red without the change.

--- a/allocator/bodies_test.go
+++ b/allocator/bodies_test.go
@@ -212,11 +212,21 @@
 // What was added long ago takes room, or additions take more than there is.
 func TestWindow(t *testing.T) {
 	window, now := &allocator.Window{Bytes: 100}, time.Unix(1000, 0)
-	add := func(bytes int64) bool { return window.Add(bytes, time.Minute, now) }
+	var last *allocator.Addition
+	add := func(bytes int64) bool {
+		a, ok := window.Add(bytes, time.Minute, now)
+		if ok {
+			last = a
+		}
+		return ok
+	}
 	got := []bool{add(200), add(1)}
 	now = now.Add(time.Minute)
 	got = append(got, add(60), add(41), add(40))
-	if diff := cmp.Diff([]bool{true, false, true, false, true}, got); diff != "" {
+	last.Withdraw()
+	last.Withdraw()
+	got = append(got, add(41), add(40), add(1))
+	if diff := cmp.Diff([]bool{true, false, true, false, true, false, true, false}, got); diff != "" {
 		t.Errorf("added (-want +got):\n%s", diff)
 	}
 }
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -39,6 +39,7 @@
 // recordTurn settles and records a turn whose response is complete. It returns once
 // the record is in the store.
 func (e *exchange) recordTurn(ctx context.Context, t *turn) error {
+	t.mayBeRecorded = true
 	r := e.endRequest(t)
 	r.Retain = true
 	r.Previous = e.scoped(e.request.Previous)
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -42,6 +42,10 @@
 	// memory is that of the earlier turns which the request to the upstream contains; nil if it
 	// contains none.
 	memory *allocator.Grant
+	// place is that among the large turns which are kept; nil if the turn is not large.
+	place *allocator.Addition
+	// mayBeRecorded is set once a home was asked to record the turn.
+	mayBeRecorded bool
 }
 
 // OutputTooLongError reports a turn that generates more text than is kept of a turn.
--- a/forwarder/turn_memory.go
+++ b/forwarder/turn_memory.go
@@ -17,7 +17,8 @@
 	if !t.kind.Retain || len(t.input) < largeTurnBytes {
 		return nil
 	}
-	if e.config.LargeTurns.Add(int64(len(t.input)), t.kind.Retention, now) {
+	var ok bool
+	if t.place, ok = e.config.LargeTurns.Add(int64(len(t.input)), t.kind.Retention, now); ok {
 		return nil
 	}
 	return refused(refuser.New(refuser.Memory, "the memory for large turns is used up").WithRetry(allocator.RetryShed()))
@@ -33,9 +34,13 @@
 	return nil
 }
 
-// release gives the memory of the turn back.
+// release gives the memory of the turn back, and its place among the large turns unless it may
+// have been recorded.
 func (t *turn) release() {
 	if t.memory != nil {
 		t.memory.Release()
 	}
+	if !t.mayBeRecorded {
+		t.place.Withdraw()
+	}
 }
--- a/forwarder/turn_memory_test.go
+++ b/forwarder/turn_memory_test.go
@@ -3,10 +3,13 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/citronpier/citronpier/allocator"
+	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/messenger"
 )
 
 // Large turns that are kept take all memory for turns, or keep out usual ones.
@@ -25,6 +28,31 @@
 	}
 }
 
+// Large turns that are never recorded, as they were refused or their answer was cut, keep out
+// others for their whole retention.
+func TestLargeTurnThatIsNotRecordedKeepsItsPlace(t *testing.T) {
+	for name, fail := range map[string]func(f *fixture) descriptor.Upstream{
+		"refused by the home": func(f *fixture) descriptor.Upstream {
+			f.home.verdict = messenger.BeginReply_EXCEEDED
+			return f.startUpstream(t, "u", streamEvents(0))
+		},
+		"cut by the upstream": func(f *fixture) descriptor.Upstream { return f.startUpstream(t, "u", streamEvents(2)) },
+		"no upstream":         func(f *fixture) descriptor.Upstream { return descriptor.Upstream{ID: "u", Service: "other"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.largeTurns = &allocator.Window{Bytes: 1 << 20}
+			f.start(t, retained(), 1, fail(f))
+			r := request()
+			f.serve(t, r.WithBody([]byte(strings.Repeat("x", 600<<10))))
+			_, room := f.largeTurns.Add(1<<20, time.Minute, time.Now())
+			if diff := cmp.Diff(true, room); diff != "" {
+				t.Errorf("room after the turn (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Earlier turns in requests to upstreams take memory that nothing counts.
 func TestChainTakesMemoryForResponses(t *testing.T) {
 	f := newFixture()
