--- a/keeper/append.go
+++ b/keeper/append.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -25,19 +24,6 @@
 	maxInterruptions = 3
 )
 
-// InterruptedError reports that changes were not recorded because another home appended to the
-// partition between the calls that they need.
-type InterruptedError struct {
-	Shard string
-	// Records is the number of records of the changes, and Bytes their size.
-	Records, Bytes int
-}
-
-// Error returns the shard and the size.
-func (e *InterruptedError) Error() string {
-	return fmt.Sprintf("another home of shard %s appended between the %d records of %d bytes, %d times", e.Shard, e.Records, e.Bytes, maxInterruptions)
-}
-
 // commitChanges appends changes. If another home appends first, the records are
 // built again from the updated state, since that home may have recorded the same
 // turns. The error is a *TooLargeError, an *EncodingError, an *InterruptedError or that of the
--- a/keeper/chain_test.go
+++ b/keeper/chain_test.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 
-	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/keeper"
 )
 
@@ -28,15 +26,11 @@
 // startHomeWithFarTurn starts a Keeper whose Search finds a turn with the id "far"
 // in another shard.
 func (f *fixture) startHomeWithFarTurn(ctx context.Context, name string) *keeper.Keeper {
-	return keeper.New(ctx, keeper.Config{
-		Incarnation: name, Store: f.store.Host(name), Partitions: partitions, RecordBytes: 1 << 10,
-		Home:           func(int, time.Time) bool { return true },
-		StoreReachable: func(time.Time) bool { return true },
-		Search: func(_ context.Context, turn string, _ []int) ([]byte, bool, bool) {
-			return []byte("elsewhere\n"), turn == "far", true
-		},
-		Counters: &counter.Set{}, Logger: zerolog.Nop(),
-	})
+	config := f.config(name)
+	config.Search = func(_ context.Context, turn string, _ []int) ([]byte, bool, bool) {
+		return []byte("elsewhere\n"), turn == "far", true
+	}
+	return keeper.New(ctx, config)
 }
 
 // A turn that continues a turn of another shard is recorded with the chain of the
--- a/keeper/end_test.go
+++ b/keeper/end_test.go
@@ -172,11 +172,9 @@
 
 // homeWithNavigator starts a home that searches other shards through a navigator.
 func (f *fixture) homeWithNavigator(ctx context.Context, id string, n *navigator.Navigator) navigator.Home {
-	return directHome{keeper.New(ctx, keeper.Config{
-		Incarnation: id, Store: f.store.Host(id), Partitions: partitions, RecordBytes: 1 << 10,
-		Home: n.IsHome, StoreReachable: func(time.Time) bool { return true }, Search: n.Search,
-		Counters: &counter.Set{}, Logger: zerolog.Nop(),
-	})}
+	config := f.config(id)
+	config.Home, config.Search = n.IsHome, n.Search
+	return directHome{keeper.New(ctx, config)}
 }
 
 // One host is home of the turn's shard and of the previous turn's shard.
--- a/keeper/find_test.go
+++ b/keeper/find_test.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"github.com/citronpier/citronpier/connector"
-	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 )
@@ -42,10 +40,9 @@
 		found := 0
 		const searches = 40
 		for i := range searches {
-			k := keeper.New(ctx, keeper.Config{
-				Incarnation: fmt.Sprint("new", i), Store: silentStore{f.store.Host("new"), partitions[0]}, Partitions: partitions,
-				RecordBytes: 1 << 10, Counters: &counter.Set{}, Logger: zerolog.Nop(),
-			})
+			config := f.config(fmt.Sprint("new", i))
+			config.Store = silentStore{config.Store, partitions[0]}
+			k := keeper.New(ctx, config)
 			limited, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 			began := time.Now()
 			reply := k.Find(limited, &messenger.FindRequest{Shards: []int32{0, 1}, Turn: "1"}, time.Now())
@@ -70,10 +67,9 @@
 			all[i] = connector.Partition{Topic: "turns", Part: i}
 			shards[i] = int32(i)
 		}
-		k := keeper.New(ctx, keeper.Config{
-			Incarnation: "a", Store: silentStore{f.store.Host("a"), all[3]}, Partitions: all,
-			RecordBytes: 1 << 10, Counters: &counter.Set{}, Logger: zerolog.Nop(),
-		})
+		config := f.config("a")
+		config.Store, config.Partitions = silentStore{config.Store, all[3]}, all
+		k := keeper.New(ctx, config)
 		for range 10 {
 			limited, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 			reply := k.Find(limited, &messenger.FindRequest{Shards: shards, Turn: "1"}, time.Now())
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,31 +15,6 @@
 	"github.com/citronpier/citronpier/messenger"
 )
 
-// QueueFullError reports that a shard's append queue is full.
-type QueueFullError struct {
-	Shard string
-	// Waiting is the number of queued changes.
-	Waiting int
-}
-
-// Error returns the shard and the length of its queue.
-func (e *QueueFullError) Error() string {
-	return fmt.Sprintf("%d changes of shard %s wait for the store: the queue is full", e.Waiting, e.Shard)
-}
-
-// TooLargeError reports that a change was not recorded because the store takes no append
-// of its size.
-type TooLargeError struct {
-	Shard string
-	// Bytes is the size of the append.
-	Bytes int
-}
-
-// Error returns the shard and the size.
-func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("the store takes no append of %d bytes, which a change of shard %s needs", e.Bytes, e.Shard)
-}
-
 // Config holds the settings and dependencies of a Keeper.
 type Config struct {
 	// Incarnation identifies this run of the host's process. It changes with every
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -31,10 +31,10 @@
 	unavailable map[connector.Partition]bool
 }
 
-// startHome starts a Keeper. Every Keeper of a fixture is configured as home of all
-// shards.
-func (f *fixture) startHome(ctx context.Context, name string) *keeper.Keeper {
-	k := keeper.New(ctx, keeper.Config{
+// config returns the configuration of a Keeper that is home of all shards, reaches the store and
+// finds no turn at other hosts.
+func (f *fixture) config(name string) keeper.Config {
+	return keeper.Config{
 		Incarnation:    name,
 		Store:          f.store.Host(name),
 		Partitions:     partitions,
@@ -45,7 +45,13 @@
 		Search:         func(context.Context, string, []int) ([]byte, bool, bool) { return nil, false, true },
 		Counters:       &counter.Set{},
 		Logger:         zerolog.Nop(),
-	})
+	}
+}
+
+// startHome starts a Keeper. Every Keeper of a fixture is configured as home of all
+// shards.
+func (f *fixture) startHome(ctx context.Context, name string) *keeper.Keeper {
+	k := keeper.New(ctx, f.config(name))
 	f.homes = append(f.homes, k)
 	return k
 }
@@ -211,12 +217,9 @@
 func TestReleaseIsDoneOnce(t *testing.T) {
 	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		home := true
-		k := keeper.New(ctx, keeper.Config{
-			Incarnation: "a", Store: f.store.Host("a"), Partitions: partitions, RecordBytes: 1 << 10,
-			Home:           func(int, time.Time) bool { return home },
-			StoreReachable: func(time.Time) bool { return true },
-			Counters:       &counter.Set{}, Logger: zerolog.Nop(),
-		})
+		config := f.config("a")
+		config.Home = func(int, time.Time) bool { return home }
+		k := keeper.New(ctx, config)
 		r := beginRequest("1", "")
 		r.Retain = false
 		k.Begin(ctx, r, time.Now())
@@ -254,12 +257,9 @@
 	} {
 		t.Run(c.left.String(), func(t *testing.T) {
 			runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
-				k := keeper.New(ctx, keeper.Config{
-					Incarnation: "a", Store: f.store.Host("a"), Partitions: partitions, RecordBytes: 1 << 10,
-					Home:           func(int, time.Time) bool { return true },
-					StoreReachable: func(time.Time) bool { return false },
-					Counters:       &counter.Set{}, Logger: zerolog.Nop(),
-				})
+				config := f.config("a")
+				config.StoreReachable = func(time.Time) bool { return false }
+				k := keeper.New(ctx, config)
 				r := beginRequest("1", "")
 				r.Left = c.left.Milliseconds()
 				began := time.Now()
@@ -303,13 +303,9 @@
 func TestRecordsOutliveTheStoresRetention(t *testing.T) {
 	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		const retention = 100 * time.Second
-		k := keeper.New(ctx, keeper.Config{
-			Incarnation: "a", Store: f.store.Host("a"), Partitions: partitions, RecordBytes: 1 << 10,
-			Retention:      retention,
-			Home:           func(int, time.Time) bool { return true },
-			StoreReachable: func(time.Time) bool { return true },
-			Counters:       &counter.Set{}, Logger: zerolog.Nop(),
-		})
+		config := f.config("a")
+		config.Retention = retention
+		k := keeper.New(ctx, config)
 		previous := ""
 		var ends [][2]int64
 		// One turn every 20 s: the store has dropped the original records of the
--- a/keeper/large_test.go
+++ b/keeper/large_test.go
@@ -10,11 +10,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/citronpier/citronpier/connector"
-	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/standin"
@@ -66,14 +64,10 @@
 
 // startLimitedHome starts a Keeper.
 func (f *fixture) startLimitedHome(ctx context.Context, h limitedHome) *keeper.Keeper {
-	return keeper.New(ctx, keeper.Config{
-		Incarnation: h.name, Store: limitedStore{f.store.Host(h.name), h.limit, h.pageRecords}, Partitions: partitions,
-		RecordBytes: h.recordBytes, CallBytes: h.told, Retention: h.retention,
-		Home:           func(int, time.Time) bool { return true },
-		StoreReachable: func(time.Time) bool { return true },
-		Search:         func(context.Context, string, []int) ([]byte, bool, bool) { return nil, false, true },
-		Counters:       &counter.Set{}, Logger: zerolog.Nop(),
-	})
+	config := f.config(h.name)
+	config.Store = limitedStore{config.Store, h.limit, h.pageRecords}
+	config.RecordBytes, config.CallBytes, config.Retention = h.recordBytes, h.told, h.retention
+	return keeper.New(ctx, config)
 }
 
 // platformHome returns a home at the platform's store, which is told a limit of one append.
--- a/keeper/memory_test.go
+++ b/keeper/memory_test.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 
-	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 )
@@ -17,13 +15,9 @@
 func TestFullHomeTakesNoTurnsUntilSomeExpire(t *testing.T) {
 	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		const memory = 1 << 20
-		k := keeper.New(ctx, keeper.Config{
-			Incarnation: "a", Store: f.store.Host("a"), Partitions: partitions, RecordBytes: 256 << 10, MemoryBytes: memory,
-			Home:           func(int, time.Time) bool { return true },
-			StoreReachable: func(time.Time) bool { return true },
-			Search:         func(context.Context, string, []int) ([]byte, bool, bool) { return nil, false, true },
-			Counters:       &counter.Set{}, Logger: zerolog.Nop(),
-		})
+		config := f.config("a")
+		config.RecordBytes, config.MemoryBytes = 256<<10, memory
+		k := keeper.New(ctx, config)
 		verdict := func(id string, retain bool) messenger.BeginReply_Verdict {
 			r := beginRequest(id, "")
 			r.Program, r.Retain = id, retain
--- a/keeper/retention_test.go
+++ b/keeper/retention_test.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 
 	"github.com/citronpier/citronpier/connector"
-	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/standin"
@@ -69,15 +67,11 @@
 		runTurn(ctx, t, a, "2", "1")
 		synctest.Wait()
 		f.store.Trim(partitions[0], old)
-		b := keeper.New(ctx, keeper.Config{
-			Incarnation: "b", Store: f.store.Host("b"), Partitions: partitions, RecordBytes: 1 << 10,
-			Home:           func(int, time.Time) bool { return true },
-			StoreReachable: func(time.Time) bool { return true },
-			Search: func(_ context.Context, turn string, _ []int) ([]byte, bool, bool) {
-				return []byte("in-1;out-1\nin-2;out-2\n"), turn == "2", true
-			},
-			Counters: &counter.Set{}, Logger: zerolog.Nop(),
-		})
+		config := f.config("b")
+		config.Search = func(_ context.Context, turn string, _ []int) ([]byte, bool, bool) {
+			return []byte("in-1;out-1\nin-2;out-2\n"), turn == "2", true
+		}
+		b := keeper.New(ctx, config)
 		runTurn(ctx, t, b, "3", "2")
 		const want = "RESERVED in-1;out-1\nin-2;out-2\nin-3;out-3\n"
 		for _, home := range []*keeper.Keeper{b, f.startHome(ctx, "c")} {
@@ -94,13 +88,9 @@
 
 // startRewritingHome starts a Keeper whose store keeps records for storeRetention.
 func (f *fixture) startRewritingHome(ctx context.Context, name string) *keeper.Keeper {
-	return keeper.New(ctx, keeper.Config{
-		Incarnation: name, Store: f.store.Host(name), Partitions: partitions, RecordBytes: 1 << 10, Retention: storeRetention,
-		Home:           func(int, time.Time) bool { return true },
-		StoreReachable: func(time.Time) bool { return true },
-		Search:         func(context.Context, string, []int) ([]byte, bool, bool) { return nil, false, true },
-		Counters:       &counter.Set{}, Logger: zerolog.Nop(),
-	})
+	config := f.config(name)
+	config.Retention = storeRetention
+	return keeper.New(ctx, config)
 }
 
 // tickUntil calls Tick each second until the given time.
@@ -281,12 +271,10 @@
 func TestRecordsOfAnInterimHomeAreRewritten(t *testing.T) {
 	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		home := true
-		a := keeper.New(ctx, keeper.Config{
-			Incarnation: "a", Store: f.store.Host("a"), Partitions: partitions, RecordBytes: 1 << 10, Retention: storeRetention,
-			Home:           func(int, time.Time) bool { return home },
-			StoreReachable: func(time.Time) bool { return true },
-			Counters:       &counter.Set{}, Logger: zerolog.Nop(),
-		})
+		config := f.config("a")
+		config.Retention = storeRetention
+		config.Home = func(int, time.Time) bool { return home }
+		a := keeper.New(ctx, config)
 		if v := verdictOf(ctx, a, "x", 1); v != messenger.BeginReply_RESERVED {
 			t.Fatalf("begin: %v", v)
 		}
@@ -334,11 +322,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
-				k := keeper.New(ctx, keeper.Config{
-					Incarnation: "a", Store: f.store.Host("a"), Partitions: all, RecordBytes: 1 << 10, Retention: c.retention,
-					Home: c.home, StoreReachable: func(time.Time) bool { return true },
-					Counters: &counter.Set{}, Logger: zerolog.Nop(),
-				})
+				config := f.config("a")
+				config.Partitions, config.Retention, config.Home = all, c.retention, c.home
+				k := keeper.New(ctx, config)
 				perTick := 0
 				for range 2 * storeRetention / time.Second {
 					before := f.store.Calls()
--- a/keeper/return_test.go
+++ b/keeper/return_test.go
@@ -9,9 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 
-	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 )
@@ -20,13 +18,9 @@
 func TestOwnRecordsIgnoredByHomeThatReturns(t *testing.T) {
 	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		var away atomic.Bool
-		k := keeper.New(ctx, keeper.Config{
-			Incarnation: "a", Store: f.store.Host("a"), Partitions: partitions, RecordBytes: 1 << 10,
-			Home:           func(int, time.Time) bool { return !away.Load() },
-			StoreReachable: func(time.Time) bool { return true },
-			Search:         func(context.Context, string, []int) ([]byte, bool, bool) { return nil, false, true },
-			Counters:       &counter.Set{}, Logger: zerolog.Nop(),
-		})
+		config := f.config("a")
+		config.Home = func(int, time.Time) bool { return !away.Load() }
+		k := keeper.New(ctx, config)
 		spend(ctx, t, k)
 		away.Store(true)
 		tickUntil(k, time.Now().Add(30*time.Second))
