--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -26,26 +25,8 @@
 	// extraReadTimeout is added to the time limit of a direct read, which may
 	// return a megabyte while many hosts read from the store.
 	extraReadTimeout = 600 * time.Millisecond
-	// newestTimeout is the time limit of a read of the newest records of all keys. Such a
-	// read returns much, and many hosts may read at the same time: a read that is given up
-	// was transferred in vain, and the next one waits as long.
-	newestTimeout = 4 * time.Second
-	// newestRepeat is the time after which the read is made once more beside the one that
-	// goes on: a read that began while the store was silent is never answered.
-	newestRepeat = 1500 * time.Millisecond
 	// relayTimeout is the time limit of a call to the store through another host.
 	relayTimeout = 600 * time.Millisecond
-	// directRetryInterval is the time between a failed direct call and the next
-	// direct call, while the store is unreachable from this host and other hosts can
-	// relay calls.
-	directRetryInterval = 500 * time.Millisecond
-	// reachableWindow is how long the store counts as reachable after it has answered
-	// a call, and how long a partition counts as failing after a call to it failed.
-	reachableWindow = 1500 * time.Millisecond
-	// otherPartitionWindow limits the age of another partition's last answer while a
-	// partition fails. If another partition has answered within this time, only the
-	// failing partition is blamed, and otherwise the path from this host to the store.
-	otherPartitionWindow = 250 * time.Millisecond
 	// MaxRelays is the maximum number of other hosts that are tried for one call.
 	MaxRelays = 2
 )
@@ -89,134 +70,11 @@
 	lossLogged bool
 }
 
-// directCalls records the outcome of direct calls to one partition. The zero value
-// means that there were no direct calls.
-type directCalls struct {
-	// lastAnswer is when the store last answered.
-	lastAnswer time.Time
-	// lastFailure is when the latest call failed; zero if it was answered.
-	lastFailure time.Time
-}
-
-// failing reports whether the latest call failed, less than reachableWindow ago.
-func (d directCalls) failing(now time.Time) bool {
-	return !d.lastFailure.IsZero() && now.Sub(d.lastFailure) < reachableWindow
-}
-
 // New returns a Relayer. The store counts as unreachable until its first answer.
 func New(c Config) *Relayer {
 	return &Relayer{config: c, byPartition: make(map[connector.Partition]directCalls)}
 }
 
-// ReachesDirectly reports whether this host reaches the store directly: whether any
-// partition has answered recently.
-func (r *Relayer) ReachesDirectly(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.reachesDirectly(now)
-}
-
-// reachesDirectly implements ReachesDirectly; the caller must hold r.mu. While any
-// partition is failing, another partition must have answered within
-// otherPartitionWindow instead of reachableWindow.
-func (r *Relayer) reachesDirectly(now time.Time) bool {
-	window := reachableWindow
-	for _, d := range r.byPartition {
-		if d.failing(now) {
-			window = otherPartitionWindow
-		}
-	}
-	for _, d := range r.byPartition {
-		if !d.failing(now) && now.Sub(d.lastAnswer) < window {
-			return true
-		}
-	}
-	return false
-}
-
-// Available reports whether the store has recently answered this host, or another
-// host that can relay calls for this host.
-func (r *Relayer) Available(now time.Time) bool {
-	return r.ReachesDirectly(now) || len(r.config.Relays()) > 0
-}
-
-// Unavailable reports whether a partition is unavailable: direct calls to it fail while
-// other partitions answer. Relaying through another host would not help then.
-func (r *Relayer) Unavailable(p connector.Partition, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.byPartition[p].failing(now) && r.reachesDirectly(now)
-}
-
-// tryDirect reports whether a call should be made directly: if there is no relay,
-// if this host reaches the store, or if the last direct call failed long enough
-// ago to try again.
-func (r *Relayer) tryDirect(relays int, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return relays == 0 || r.reachesDirectly(now) || now.Sub(r.lastFailure) >= directRetryInterval
-}
-
-// recordDirectCall records the outcome of a direct call to a partition. It logs
-// when the partition or the whole store becomes unreachable or reachable again.
-func (r *Relayer) recordDirectCall(p connector.Partition, err error, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	old := r.byPartition[p]
-	if isAnswer(err) {
-		if !old.lastFailure.IsZero() {
-			r.config.Logger.Info().Str("partition", p.String()).Dur("away_ms", now.Sub(old.lastAnswer)).Msg("partition reachable again")
-		}
-		r.byPartition[p] = directCalls{lastAnswer: now}
-		if r.lossLogged {
-			r.config.Logger.Info().Str("partition", p.String()).Dur("since_ms", now.Sub(r.lastFailure)).Msg("store reachable again")
-		}
-		r.lossLogged = false
-		if !old.lastFailure.IsZero() {
-			r.announceRecovery()
-		}
-		return
-	}
-	r.byPartition[p] = directCalls{lastAnswer: old.lastAnswer, lastFailure: now}
-	r.lastFailure = now
-	if old.lastFailure.IsZero() {
-		r.config.Logger.Warn().Err(err).Str("partition", p.String()).Dur("since_ms", now.Sub(old.lastAnswer)).Msg("partition unreachable")
-	}
-	if !r.lossLogged && !r.reachesDirectly(now) {
-		r.lossLogged = true
-		r.config.Logger.Warn().Err(err).Str("partition", p.String()).Msg("store unreachable")
-	}
-}
-
-// announceRecovery wakes the reads that wait for an answer. The caller must hold r.mu.
-func (r *Relayer) announceRecovery() {
-	if r.recovered != nil {
-		close(r.recovered)
-		r.recovered = nil
-	}
-}
-
-// whenRecovered returns a channel that is closed when the store answers this host after calls
-// have failed.
-func (r *Relayer) whenRecovered() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.recovered == nil {
-		r.recovered = make(chan struct{})
-	}
-	return r.recovered
-}
-
-// isAnswer reports whether err means that the store answered the call. Besides
-// success, these are the answers that a partition ends at another offset than an
-// append expected, that the records of a read have been trimmed, and that a call is too
-// large.
-func isAnswer(err error) bool {
-	var mismatch *connector.EndMismatchError
-	var trimmed *connector.TrimmedError
-	return err == nil || errors.As(err, &mismatch) || errors.As(err, &trimmed) || connector.IsTooLarge(err)
-}
-
 // callStore makes one call to the store. It calls the store directly if tryDirect
 // allows this. Otherwise, or if the direct call fails, it tries up to MaxRelays other
 // hosts. It does not relay a failed call to an unavailable partition. extraTimeout is
@@ -296,94 +154,3 @@
 			return records, fromFault(reply.GetFault(), p)
 		})
 }
-
-// newestResult is the outcome of a read of the newest records.
-type newestResult struct {
-	newest connector.Newest
-	err    error
-	// direct is true for the read of this host itself.
-	direct bool
-}
-
-// Newest implements connector.Store. If the store does not answer within directTimeout,
-// relays are asked while the direct read goes on. The direct read is repeated beside it after
-// newestRepeat, and once when another call shows that the store answers again. The first
-// answer counts. The relays mostly answer from memory.
-func (r *Relayer) Newest(ctx context.Context, p connector.Partition) (connector.Newest, error) {
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
-	const reads = 2 + int(newestTimeout/newestRepeat)
-	results := make(chan newestResult, reads+MaxRelays)
-	readDirectly := func() {
-		newest, err := r.config.Direct.Newest(ctx, p)
-		results <- newestResult{newest, err, true}
-	}
-	go readDirectly()
-	pending, last := 1, error(nil)
-	askRelays := time.After(directTimeout)
-	repeat := time.NewTicker(newestRepeat)
-	defer repeat.Stop()
-	recovered := r.whenRecovered()
-	for {
-		select {
-		case <-recovered:
-			recovered = nil
-			pending++
-			go readDirectly()
-		case <-repeat.C:
-			pending++
-			go readDirectly()
-		case <-askRelays:
-			askRelays = nil
-			pending += r.askNewest(ctx, p, results)
-		case got := <-results:
-			pending--
-			last = got.err
-			if got.direct && ctx.Err() == nil {
-				r.recordDirectCall(p, got.err, time.Now())
-			}
-			if isAnswer(got.err) {
-				return got.newest, got.err
-			}
-			if askRelays != nil {
-				askRelays = nil
-				pending += r.askNewest(ctx, p, results)
-			}
-			if pending == 0 {
-				return connector.Newest{}, last
-			}
-		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-				r.recordDirectCall(p, ctx.Err(), time.Now())
-			}
-			return connector.Newest{}, &connector.LostError{Cause: ctx.Err()}
-		}
-	}
-}
-
-// askNewest asks relays for the newest records, and returns how many will send a result.
-func (r *Relayer) askNewest(ctx context.Context, p connector.Partition, results chan<- newestResult) int {
-	relays := r.config.Relays()
-	relays = relays[:min(len(relays), MaxRelays)]
-	for _, relay := range relays {
-		r.config.Counters.Stages.Add("relayed", 1)
-		go func() {
-			newest, err := relayedNewest(ctx, relay, p)
-			results <- newestResult{newest: newest, err: err}
-		}()
-	}
-	return len(relays)
-}
-
-// relayedNewest reads the newest records through another host.
-func relayedNewest(ctx context.Context, relay Relay, p connector.Partition) (connector.Newest, error) {
-	reply, err := relay.Mirror.Newest(ctx, &messenger.NewestRequest{Topic: p.Topic, Part: int32(p.Part)})
-	if err != nil {
-		return connector.Newest{}, &connector.LostError{Cause: err}
-	}
-	newest := connector.Newest{End: reply.GetEnd()}
-	for _, i := range reply.GetItems() {
-		newest.Items = append(newest.Items, connector.Item{Key: i.GetKey(), Value: i.GetValue(), Offset: i.GetOffset()})
-	}
-	return newest, fromFault(reply.GetFault(), p)
-}
