Keep changes together in one append, and free what a decoded batch held

Two shards that learned the limit at the same time could have raised it again. And the decoder of each shard kept the bytes of the last batch that it read, now up to several megabytes, until the next one.

--- a/keeper/append.go
+++ b/keeper/append.go
@@ -183,11 +183,14 @@
 }
 
 // lowerCallLimit lowers the size limit of an append to half of a size that the store has
-// refused.
+// refused, unless it is lower already.
 func (k *Keeper) lowerCallLimit(refused int) {
 	const divisor = 2
 	limit := int64(max(1, refused/divisor))
-	k.loweredCallLimit.Store(limit)
+	before := k.loweredCallLimit.Load()
+	if before > 0 && before <= limit || !k.loweredCallLimit.CompareAndSwap(before, limit) {
+		return
+	}
 	k.config.Logger.Warn().Int("refused", refused).Int64("limit", limit).Msg("store refused an append for its size, sending smaller ones")
 }
 
--- a/keeper/batch.go
+++ b/keeper/batch.go
@@ -58,9 +58,13 @@
 }
 
 // nextCall returns the records of the next append: those that are not in the partition yet, as
-// many as a call of limit bytes holds, and at least one. 0 is no limit.
+// many as a call of limit bytes holds, and at least one; all of them if the batch has several
+// changes. 0 is no limit.
 func (b *batch) nextCall(limit int) [][]byte {
 	rest := b.records[b.landed:]
+	if len(b.changes) > 1 {
+		return rest
+	}
 	size := 0
 	for i, r := range rest {
 		size += len(r) + recordFramingBytes
--- a/keeper/encoder.go
+++ b/keeper/encoder.go
@@ -73,8 +73,9 @@
 	if flags&flagLast == 0 {
 		return nil, nil
 	}
-	d.inBatch = false
-	raw, err := s2.Decode(nil, d.data)
+	data := d.data
+	*d = decoder{}
+	raw, err := s2.Decode(nil, data)
 	if err != nil {
 		return nil, &RecordError{Detail: "batch is not readable", Cause: err}
 	}
