Divide large batches into appends that fit through slow links

What callers would see: several large kept turns at once at a host behind a link of 75 Mbit/s, as some sheets in force have, are run and cut at their time limit.

Cause, by a test with a shared link and the real relayer: an append of 2 MiB takes 0.22 s on that link alone, and has 400 ms while another host could relay it, or 600 ms through that host. With four at once no append ends in its time, and each is begun again: appends are given up after they have taken the link from the others.

Change: a divided batch has appends of at most 512 KiB, as reads of shards have. Batches of several changes are as before.

--- a/keeper/append.go
+++ b/keeper/append.go
@@ -18,6 +18,9 @@
 	// append.
 	minAppendBackoff = 10 * time.Millisecond
 	maxAppendBackoff = 250 * time.Millisecond
+	// maxDividedBytes bounds the calls of a batch that is divided, in bytes: at a slow link, several
+	// such calls at once have to end within the time limit of calls to the store.
+	maxDividedBytes = 512 << 10
 	// maxInterruptions is how often a batch of several calls may be interrupted by another
 	// home before it is given up: the shard has two homes then, and a fallback shard may have
 	// one. What an interrupted batch has left in the partition takes room until it expires.
@@ -99,7 +102,7 @@
 	retries.InitialInterval = minAppendBackoff
 	retries.MaxInterval = maxAppendBackoff
 	for landed := b.landed; ctx.Err() == nil && b.landed == landed && !b.interrupted; {
-		call := b.nextCall(s.keeper.callLimit())
+		call := b.nextCall(s.keeper.dividedLimit())
 		_, err := s.keeper.config.Store.Append(ctx, s.partition, call, b.nextOffset())
 		var mismatch *connector.EndMismatchError
 		if err == nil || errors.As(err, &mismatch) || connector.IsTooLarge(err) {
@@ -182,6 +185,14 @@
 	return k.config.CallBytes
 }
 
+// dividedLimit returns the size limit in bytes of the appends of a batch that is divided.
+func (k *Keeper) dividedLimit() int {
+	if limit := k.callLimit(); limit > 0 {
+		return min(maxDividedBytes, limit)
+	}
+	return maxDividedBytes
+}
+
 // lowerCallLimit lowers the size limit of an append to half of a size that the store has
 // refused, unless it is lower already.
 func (k *Keeper) lowerCallLimit(refused int) {
--- a/keeper/batch.go
+++ b/keeper/batch.go
@@ -59,7 +59,7 @@
 
 // nextCall returns the records of the next append: those that are not in the partition yet, as
 // many as a call of limit bytes holds, and at least one; all of them if the batch has several
-// changes. 0 is no limit.
+// changes.
 func (b *batch) nextCall(limit int) [][]byte {
 	rest := b.records[b.landed:]
 	if len(b.changes) > 1 {
@@ -68,7 +68,7 @@
 	size := 0
 	for i, r := range rest {
 		size += len(r) + recordFramingBytes
-		if i > 0 && limit > 0 && size > limit {
+		if i > 0 && size > limit {
 			return rest[:i]
 		}
 	}
