--- a/keeper/parts_test.go
+++ b/keeper/divided_test.go
@@ -18,8 +18,8 @@
 )
 
 var (
-	partsSeeds = flag.Int("parts.seeds", 150, "number of seeds of the model of turns that need several appends")
-	partsFirst = flag.Int("parts.first", 0, "first seed of the model of turns that need several appends")
+	dividedSeeds = flag.Int("divided.seeds", 150, "number of seeds of the model of turns that need several appends")
+	dividedFirst = flag.Int("divided.first", 0, "first seed of the model of turns that need several appends")
 )
 
 const (
@@ -34,19 +34,20 @@
 	modelTimeout = 4 * time.Second
 )
 
-// partsModel plays turns at several homes of one shard, which record at the same time, die,
-// stand still and lose calls and replies, also between the appends of one turn.
-type partsModel struct {
+// dividedModel plays turns at several homes of one shard, which record at the same time, die,
+// stand still and lose calls and replies, also between the appends of one turn: the batch of a
+// large turn is divided into several.
+type dividedModel struct {
 	*fixture
 	ctx context.Context
 
 	mu  sync.Mutex
 	rng *rand.Rand
-	// homes has the homes that live, and stop their contexts.
+	// homes has the homes that live, and kill what ends each of them.
 	homes []*keeper.Keeper
-	stop  []context.CancelFunc
-	// named is the number of incarnations so far.
-	named int
+	kill  []context.CancelFunc
+	// incarnations is the number of homes so far.
+	incarnations int
 	// texts has the whole chain of each turn that was sent to a home.
 	texts map[string]string
 	// recorded has the turns that a home has reported as recorded, in this order.
@@ -55,12 +56,12 @@
 	faulty bool
 }
 
-// newPartsModel starts the homes.
-func newPartsModel(ctx context.Context, f *fixture, seed int) *partsModel {
-	m := &partsModel{fixture: f, ctx: ctx, rng: rand.New(rand.NewPCG(uint64(seed), 0)), texts: make(map[string]string), faulty: true}
+// newDividedModel starts the homes.
+func newDividedModel(ctx context.Context, f *fixture, seed int) *dividedModel {
+	m := &dividedModel{fixture: f, ctx: ctx, rng: rand.New(rand.NewPCG(uint64(seed), 0)), texts: make(map[string]string), faulty: true}
 	f.store.SetFault(m.fault)
 	for range modelHomes {
-		m.homes, m.stop = append(m.homes, nil), append(m.stop, nil)
+		m.homes, m.kill = append(m.homes, nil), append(m.kill, nil)
 	}
 	for i := range modelHomes {
 		m.restart(i)
@@ -69,7 +70,7 @@
 }
 
 // number returns a random number below n.
-func (m *partsModel) number(n int) int {
+func (m *dividedModel) number(n int) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.rng.IntN(n)
@@ -77,7 +78,7 @@
 
 // fault chooses the outcome of a call of the store. Some calls begin late, as those of a host
 // that stands still.
-func (m *partsModel) fault(c standin.Call) standin.Effect {
+func (m *dividedModel) fault(c standin.Call) standin.Effect {
 	if !m.isFaulty() {
 		return standin.Done
 	}
@@ -96,29 +97,29 @@
 }
 
 // isFaulty reports whether calls of the store fail.
-func (m *partsModel) isFaulty() bool {
+func (m *dividedModel) isFaulty() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.faulty
 }
 
 // restart kills a home and starts another one in its place.
-func (m *partsModel) restart(i int) {
+func (m *dividedModel) restart(i int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stop[i] != nil {
-		m.stop[i]()
+	if m.kill[i] != nil {
+		m.kill[i]()
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	m.named++
-	m.stop[i] = cancel
+	m.incarnations++
+	m.kill[i] = cancel
 	m.homes[i] = m.startLimitedHome(ctx, limitedHome{
-		name: fmt.Sprint("home", m.named), limit: smallCall, told: smallCall, recordBytes: smallRecord, pageRecords: 3,
+		name: fmt.Sprint("home", m.incarnations), limit: smallCall, told: smallCall, recordBytes: smallRecord, pageRecords: 3,
 	})
 }
 
 // home returns a random home.
-func (m *partsModel) home() *keeper.Keeper {
+func (m *dividedModel) home() *keeper.Keeper {
 	i := m.number(modelHomes)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -127,7 +128,7 @@
 
 // newTurn returns the request that ends a turn, small or large, which continues a turn that is
 // recorded, or none.
-func (m *partsModel) newTurn(n int) *messenger.EndRequest {
+func (m *dividedModel) newTurn(n int) *messenger.EndRequest {
 	size := m.number(40)
 	if m.number(3) == 0 {
 		size = m.number(2000)
@@ -148,7 +149,7 @@
 
 // play ends a turn as an entry host does: at one home after the other, and in a fallback shard
 // if a home says so.
-func (m *partsModel) play(r *messenger.EndRequest) {
+func (m *dividedModel) play(r *messenger.EndRequest) {
 	m.mu.Lock()
 	chain := m.texts[r.GetPrevious()]
 	m.mu.Unlock()
@@ -177,7 +178,7 @@
 
 // check compares what a home finds of all turns with what was sent. A turn that was not
 // reported as recorded may be missing, but is not there in part.
-func (m *partsModel) check(t *testing.T, k *keeper.Keeper) {
+func (m *dividedModel) check(t *testing.T, k *keeper.Keeper) {
 	m.mu.Lock()
 	recorded := make(map[string]bool)
 	for _, turn := range m.recorded {
@@ -194,7 +195,7 @@
 }
 
 // playSeed plays the turns and faults of one seed.
-func (m *partsModel) playSeed(t *testing.T) {
+func (m *dividedModel) playSeed(t *testing.T) {
 	var running sync.WaitGroup
 	for n := range modelTurns {
 		running.Go(func() { m.play(m.newTurn(n)) })
@@ -225,10 +226,10 @@
 // A turn that needs several appends is lost after it was answered, or is kept in part, because
 // a fault or another home comes between two of them.
 func TestTurnIsLostOrHalvedByFaultsBetweenItsAppends(t *testing.T) {
-	for seed := *partsFirst; seed < *partsFirst+*partsSeeds; seed++ {
+	for seed := *dividedFirst; seed < *dividedFirst+*dividedSeeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
-				newPartsModel(ctx, f, seed).playSeed(t)
+				newDividedModel(ctx, f, seed).playSeed(t)
 			})
 		})
 	}
