--- a/forwarder/turn_memory_test.go
+++ b/forwarder/turn_memory_test.go
@@ -28,8 +28,7 @@
 	}
 }
 
-// Large turns that are never recorded, as they were refused or their answer was cut, keep out
-// others for their whole retention.
+// Large turns that are never recorded keep out others for their whole retention.
 func TestLargeTurnThatIsNotRecordedKeepsItsPlace(t *testing.T) {
 	for name, fail := range map[string]func(f *fixture) descriptor.Upstream{
 		"refused by the home": func(f *fixture) descriptor.Upstream {
--- a/keeper/divided_test.go
+++ b/keeper/divided_test.go
@@ -223,8 +223,7 @@
 	}
 }
 
-// A turn that needs several appends is lost after it was answered, or is kept in part, because
-// a fault or another home comes between two of them.
+// A turn is lost or kept in part, as a fault or another home comes between its appends.
 func TestTurnIsLostOrHalvedByFaultsBetweenItsAppends(t *testing.T) {
 	for seed := *dividedFirst; seed < *dividedFirst+*dividedSeeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/keeper/large_test.go
+++ b/keeper/large_test.go
@@ -158,8 +158,7 @@
 // wholeTurn returns the text of the turn that a request records.
 func wholeTurn(r *messenger.EndRequest) string { return string(r.GetInput()) + string(r.GetOutput()) }
 
-// A turn inside the limits of callers is cut, because its record is larger than one call of the
-// store, whatever made it large.
+// A turn inside callers' limits is cut, as its record is larger than one call of the store.
 func TestTurnThatOneCallOfTheStoreCantHoldIsCut(t *testing.T) {
 	const large = 5 << 20
 	incompressible := incompressibleTurn("", large).GetInput()
@@ -190,8 +189,7 @@
 	}
 }
 
-// A turn that one call of the store can't hold is lost with its first records, because it is
-// not written again.
+// A turn that one call of the store can't hold is not written again, and lost with its records.
 func TestLargeTurnIsLostWithItsRecords(t *testing.T) {
 	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		home := platformHome("a", callBytes)
@@ -211,8 +209,7 @@
 	})
 }
 
-// The end of a turn waits without end for its own append, whose reply was lost and whose records
-// the store has dropped.
+// The end of a turn waits without end for an append whose records the store has dropped.
 func TestTurnWaitsForRecordsThatTheStoreDropped(t *testing.T) {
 	for _, size := range []int{10, 3 << 20} {
 		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
@@ -246,8 +243,7 @@
 	}
 }
 
-// A turn is cut because its shard has two homes, of which one appends each time between the calls
-// that the turn needs: a fallback shard has only one.
+// A turn is cut, as another home appends each time between the calls that the turn needs.
 func TestLargeTurnIsCutWhileAnotherHomeAppends(t *testing.T) {
 	runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
 		a, b := f.startLimitedHome(ctx, platformHome("a", callBytes)), f.startLimitedHome(ctx, platformHome("b", callBytes))
--- a/keeper/slow_link_test.go
+++ b/keeper/slow_link_test.go
@@ -77,8 +77,7 @@
 	return relayer.Server{Direct: l.store}.Append(ctx, r)
 }
 
-// Large turns are cut at a host with a slow link, because an append does not end within the time
-// limit of calls to the store while they share the link.
+// Large turns are cut, as no append ends in its time limit while they share a slow link.
 func TestLargeTurnsAreCutBehindSlowLink(t *testing.T) {
 	for _, turns := range []int{1, 2, 3, 4, 6} {
 		t.Run(fmt.Sprint(turns, " at once"), func(t *testing.T) {
