Keep records below the store's limits, and learn the limit of a record

Cause: a record of a large turn had exactly `record_bytes`, a size that nothing else writes. A store that refuses a single record (413) was taken to refuse the turn for good, although it could be encoded into smaller records, as a refused call is divided.

Change: a record counts with its framing of 16 bytes against the limits, so that it is below them whichever way they are read. A refused record lowers the limit of a record, and the batch is encoded again; calls that were refused before are then learned anew.

Tests: the stand-ins of the store refuse in the strictest reading. TestTurnThatTheStoreNeverTakesBlocksNoOtherTurn had a store of 100 KiB an append, which the keeper now serves (it is a case of the new test); it keeps its checks with a store that takes 400 bytes, which no division serves.

--- a/keeper/append.go
+++ b/keeper/append.go
@@ -42,6 +42,10 @@
 			return err
 		}
 		done, err := s.appendBatch(ctx, b)
+		var refused *recordRefusedError
+		if errors.As(err, &refused) {
+			continue
+		}
 		if done || err != nil {
 			return err
 		}
@@ -73,8 +77,8 @@
 
 // appendBatch appends the records of a batch, call by call. It repeats each call until its
 // outcome is known. done is true if the batch is in the partition, and false if another home
-// has interrupted it. The error is a *TooLargeError if the store will never take the batch. The
-// caller holds ioLock.
+// has interrupted it. The error is a *TooLargeError if the store will never take the batch, and a
+// *recordRefusedError if it may take the batch in smaller records. The caller holds ioLock.
 func (s *shard) appendBatch(ctx context.Context, b *batch) (done bool, err error) {
 	if limit := s.keeper.callLimit(); len(b.changes) > 1 && limit > 0 && callSize(b.records) > limit {
 		return false, &TooLargeError{Shard: s.partition.String(), Bytes: callSize(b.records)}
@@ -96,7 +100,7 @@
 }
 
 // appendNext appends the next records of a batch, as many as one call holds, and repeats the
-// call until its outcome is known. The error is a *TooLargeError. The caller holds ioLock.
+// call until its outcome is known. The error is that of divideCall. The caller holds ioLock.
 func (s *shard) appendNext(ctx context.Context, b *batch) error {
 	retries := backoff.NewExponentialBackOff()
 	retries.InitialInterval = minAppendBackoff
@@ -164,26 +168,26 @@
 	return b.landed > before || b.interrupted
 }
 
-// divideCall lowers the limit of a call after the store has refused one for its size. The error
-// is a *TooLargeError if the batch can't be divided into smaller calls.
+// divideCall lowers the limits after the store has refused a call for its size. The error is a
+// *recordRefusedError if the batch has to be encoded into smaller records, and a *TooLargeError if
+// its changes have to be appended apart, or can't be.
 func (s *shard) divideCall(b *batch, call [][]byte) error {
 	size := callSize(call)
-	if len(call) > 1 {
-		s.keeper.lowerCallLimit(size)
+	if len(call) == 1 {
+		if s.keeper.limits.refuseRecord(size, s.keeper.config.Logger) {
+			return &recordRefusedError{Bytes: size}
+		}
+		return &TooLargeError{Shard: s.partition.String(), Bytes: size}
 	}
-	if len(call) == 1 || len(b.changes) > 1 {
+	s.keeper.limits.refuseCall(size, s.keeper.config.Logger)
+	if len(b.changes) > 1 {
 		return &TooLargeError{Shard: s.partition.String(), Bytes: size}
 	}
 	return nil
 }
 
 // callLimit returns the size limit of one append in bytes; 0 if it is unknown.
-func (k *Keeper) callLimit() int {
-	if lowered := k.loweredCallLimit.Load(); lowered > 0 {
-		return int(lowered)
-	}
-	return k.config.CallBytes
-}
+func (k *Keeper) callLimit() int { return k.limits.ofCall(k.config.CallBytes) }
 
 // dividedLimit returns the size limit in bytes of the appends of a batch that is divided.
 func (k *Keeper) dividedLimit() int {
@@ -193,22 +197,7 @@
 	return maxDividedBytes
 }
 
-// lowerCallLimit lowers the size limit of an append to half of a size that the store has
-// refused, unless it is lower already.
-func (k *Keeper) lowerCallLimit(refused int) {
-	const divisor = 2
-	limit := int64(max(1, refused/divisor))
-	before := k.loweredCallLimit.Load()
-	if before > 0 && before <= limit || !k.loweredCallLimit.CompareAndSwap(before, limit) {
-		return
-	}
-	k.config.Logger.Warn().Int("refused", refused).Int64("limit", limit).Msg("store refused an append for its size, sending smaller ones")
-}
-
-// recordLimit returns the size limit of one record in bytes. A call holds one record at least.
+// recordLimit returns the size limit of the data of one record in bytes.
 func (k *Keeper) recordLimit() int {
-	if call := k.config.CallBytes; call > 0 {
-		return min(k.config.RecordBytes, call-recordFramingBytes)
-	}
-	return k.config.RecordBytes
+	return k.limits.ofRecord(k.config.RecordBytes, k.config.CallBytes)
 }
--- a/keeper/batch.go
+++ b/keeper/batch.go
@@ -7,9 +7,6 @@
 	"github.com/citronpier/citronpier/recorder"
 )
 
-// recordFramingBytes is room for what the store's protocol adds to a record.
-const recordFramingBytes = 16
-
 // batch is the records of changes. They are appended with one call of the store or, if one
 // call does not hold them, with several, one after the other. A batch takes effect with its last
 // record, and only if no other record stands between its records: every reader of the partition
--- a/keeper/errors.go
+++ b/keeper/errors.go
@@ -27,6 +27,18 @@
 	return fmt.Sprintf("the store takes no append of %d bytes, which a change of shard %s needs", e.Bytes, e.Shard)
 }
 
+// recordRefusedError reports that the store refused a record for its size, and that smaller ones
+// were not tried yet.
+type recordRefusedError struct {
+	// Bytes is the size of the record.
+	Bytes int
+}
+
+// Error returns the size.
+func (e *recordRefusedError) Error() string {
+	return fmt.Sprintf("the store takes no record of %d bytes", e.Bytes)
+}
+
 // InterruptedError reports that changes were not recorded because another home appended to the
 // partition between the calls that they need.
 type InterruptedError struct {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -59,9 +59,8 @@
 	ctx context.Context
 	// lastSequence is the sequence number of the newest batch of this incarnation.
 	lastSequence atomic.Uint64
-	// loweredCallLimit is the size limit of one append in bytes, if the store has refused an
-	// append below CallBytes for its size; otherwise 0.
-	loweredCallLimit atomic.Int64
+	// limits holds what the store has refused for its size.
+	limits sizeLimits
 	// textBytes is the size of the texts of turns in memory, as measured last.
 	textBytes atomic.Int64
 
--- a/keeper/large_test.go
+++ b/keeper/large_test.go
@@ -18,14 +18,22 @@
 	"github.com/citronpier/citronpier/standin"
 )
 
-// callBytes is the size limit of one append of the platform's store.
-const callBytes = 2 << 20
+// callBytes and recordBytes are the size limits of one append and of one record of the platform's
+// store.
+const (
+	callBytes   = 2 << 20
+	recordBytes = 256 << 10
+)
 
-// limitedStore is a store that refuses appends of more than limit bytes, as the platform's
-// does.
+// limitedStore is a store that refuses appends for their size, in the strictest reading of the
+// platform's limits: it counts the four bytes of length that precede each record, and takes only
+// what is below a limit.
 type limitedStore struct {
 	connector.Store
+	// limit is the limit of the records of one append, in bytes.
 	limit int
+	// recordLimit is the limit of one record, in bytes; 0 is that of an append.
+	recordLimit int
 	// pageRecords is the number of records that a read returns at most; 0 is no limit.
 	pageRecords int
 }
@@ -39,11 +47,13 @@
 }
 
 func (s limitedStore) Append(ctx context.Context, p connector.Partition, records [][]byte, at int64) (connector.Appended, error) {
-	size := 0
+	const lengthBytes = 4
+	size, largest := 0, 0
 	for _, r := range records {
-		size += len(r)
+		size += lengthBytes + len(r)
+		largest = max(largest, lengthBytes+len(r))
 	}
-	if size > s.limit {
+	if size >= s.limit || s.recordLimit > 0 && largest >= s.recordLimit {
 		return connector.Appended{}, &connector.RefusedError{Status: http.StatusRequestEntityTooLarge, Detail: "too large"}
 	}
 	return s.Store.Append(ctx, p, records, at)
@@ -53,9 +63,11 @@
 type limitedHome struct {
 	// name is the incarnation.
 	name string
-	// limit is the limit of the store in bytes, and told what the Keeper is told of it.
+	// limit is the limit of an append of the store in bytes, and told what the Keeper is told of it.
 	limit, told int
-	recordBytes int
+	// recordLimit is the limit of a record of the store in bytes, 0 for none, and recordBytes what
+	// the Keeper is told of it.
+	recordLimit, recordBytes int
 	// pageRecords is the number of records that the store returns with a read at most; 0 is no
 	// limit.
 	pageRecords int
@@ -65,14 +77,14 @@
 // startLimitedHome starts a Keeper.
 func (f *fixture) startLimitedHome(ctx context.Context, h limitedHome) *keeper.Keeper {
 	config := f.config(h.name)
-	config.Store = limitedStore{config.Store, h.limit, h.pageRecords}
+	config.Store = limitedStore{Store: config.Store, limit: h.limit, recordLimit: h.recordLimit, pageRecords: h.pageRecords}
 	config.RecordBytes, config.CallBytes, config.Retention = h.recordBytes, h.told, h.retention
 	return keeper.New(ctx, config)
 }
 
 // platformHome returns a home at the platform's store, which is told a limit of one append.
 func platformHome(name string, told int) limitedHome {
-	return limitedHome{name: name, limit: callBytes, told: told, recordBytes: 256 << 10}
+	return limitedHome{name: name, limit: callBytes, told: told, recordLimit: recordBytes, recordBytes: recordBytes}
 }
 
 // incompressibleTurn returns a request whose input does not get smaller when compressed.
@@ -89,7 +101,7 @@
 	for _, limit := range []int{0, callBytes} {
 		t.Run(fmt.Sprint("limit told ", limit), func(t *testing.T) {
 			runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
-				a := f.startLimitedHome(ctx, limitedHome{name: "a", limit: 100 << 10, told: limit, recordBytes: 256 << 10})
+				a := f.startLimitedHome(ctx, limitedHome{name: "a", limit: 400, told: limit, recordBytes: recordBytes})
 				limited, cancel := context.WithTimeout(ctx, 4*time.Second)
 				defer cancel()
 				began := time.Now()
