Record large turns with as few appends as the store's pace allows

What callers saw: a kept turn of 3 MiB took 12 appends one after the other, after its answer. At a store that takes 6 or 12 writes a second in all, leaves each seventh of them unanswered for 3 s, or has small limits, most such turns were run and cut at the time limit while small turns were whole.

Cause: the calls of a divided batch had 512 KiB at most, for slow links, on every link; and since records of 256 KiB with their framing didn't fit twice, each had one.

Change: the size of the calls is learned from the time of those before. The bytes of a call may take 150 ms besides what small appends take, so that a store which is slow for each append gets fewer calls and one that is slow for the bytes gets smaller ones. Calls grow twofold at most, and are halved after a lost reply.

TestLargeTurnsAreCutBehindSlowLink, now also after turns on an idle link, passes before and after: larger calls don't cut there.

--- a/connector/store.go
+++ b/connector/store.go
@@ -131,3 +131,9 @@
 
 // Unwrap returns the error because of which the reply was lost.
 func (e *LostError) Unwrap() error { return e.Cause }
+
+// IsLost reports whether the store's reply to a request was lost.
+func IsLost(err error) bool {
+	var lost *LostError
+	return errors.As(err, &lost)
+}
--- a/keeper/append.go
+++ b/keeper/append.go
@@ -18,9 +18,6 @@
 	// append.
 	minAppendBackoff = 10 * time.Millisecond
 	maxAppendBackoff = 250 * time.Millisecond
-	// maxDividedBytes bounds the calls of a batch that is divided, in bytes: at a slow link, several
-	// such calls at once have to end within the time limit of calls to the store.
-	maxDividedBytes = 512 << 10
 	// maxInterruptions is how often a batch of several calls may be interrupted by another
 	// home before it is given up: the shard has two homes then, and a fallback shard may have
 	// one. What an interrupted batch has left in the partition takes room until it expires.
@@ -107,13 +104,16 @@
 	retries.MaxInterval = maxAppendBackoff
 	for landed := b.landed; ctx.Err() == nil && b.landed == landed && !b.interrupted; {
 		call := b.nextCall(s.keeper.dividedLimit())
+		began := time.Now()
 		_, err := s.keeper.config.Store.Append(ctx, s.partition, call, b.nextOffset())
+		took := time.Since(began)
 		var mismatch *connector.EndMismatchError
 		if err == nil || errors.As(err, &mismatch) || connector.IsTooLarge(err) {
 			s.recordAppendAnswer()
 		}
 		switch {
 		case err == nil:
+			s.keeper.pace.succeeded(callSize(call), took)
 			s.applyAppended(b, len(call), time.Now())
 			return nil
 		case errors.As(err, &mismatch):
@@ -126,6 +126,9 @@
 			}
 			continue
 		default:
+			if connector.IsLost(err) {
+				s.keeper.pace.lost(callSize(call))
+			}
 			s.recordAppendFailure(time.Now())
 			s.keeper.config.Counters.Retries.Add("append", 1)
 			s.logger.Debug().Err(err).Msg("append failed, trying again")
@@ -190,12 +193,7 @@
 func (k *Keeper) callLimit() int { return k.limits.ofCall(k.config.CallBytes) }
 
 // dividedLimit returns the size limit in bytes of the appends of a batch that is divided.
-func (k *Keeper) dividedLimit() int {
-	if limit := k.callLimit(); limit > 0 {
-		return min(maxDividedBytes, limit)
-	}
-	return maxDividedBytes
-}
+func (k *Keeper) dividedLimit() int { return lowerTo(k.callLimit(), k.pace.size()) }
 
 // recordLimit returns the size limit of the data of one record in bytes.
 func (k *Keeper) recordLimit() int {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -61,6 +61,8 @@
 	lastSequence atomic.Uint64
 	// limits holds what the store has refused for its size.
 	limits sizeLimits
+	// pace chooses the size of the calls of divided batches.
+	pace pace
 	// textBytes is the size of the texts of turns in memory, as measured last.
 	textBytes atomic.Int64
 
--- a/keeper/slow_link_test.go
+++ b/keeper/slow_link_test.go
@@ -77,46 +77,65 @@
 	return relayer.Server{Direct: l.store}.Append(ctx, r)
 }
 
+// slowLinkHome is a home with a partition for each program, whose calls to the store share a slow
+// link, also those through another host.
+type slowLinkHome struct{ *keeper.Keeper }
+
+// startSlowLinkHome starts a home for a number of programs.
+func (f *fixture) startSlowLinkHome(ctx context.Context, programs int) slowLinkHome {
+	link := make(slowLink, 1)
+	config := f.config("a")
+	config.RecordBytes, config.CallBytes = recordBytes, callBytes
+	config.Store = relayer.New(relayer.Config{
+		Direct: linkedStore{limitedStore{Store: config.Store, limit: callBytes}, link},
+		Relays: func() []relayer.Relay {
+			return []relayer.Relay{{Address: "other", Ledger: linkedLedger{store: f.store.Host("other"), link: link}}}
+		},
+		Counters: config.Counters, Logger: config.Logger,
+	})
+	config.Partitions = nil
+	for part := range programs {
+		config.Partitions = append(config.Partitions, connector.Partition{Topic: "turns", Part: part})
+	}
+	return slowLinkHome{keeper.New(ctx, config)}
+}
+
+// endLargeTurns ends a large turn of each program at once and returns the outcomes.
+func (h slowLinkHome) endLargeTurns(ctx context.Context, name string, programs int) []string {
+	var running sync.WaitGroup
+	outcomes := make([]string, programs)
+	for i := range programs {
+		running.Go(func() {
+			limited, cancel := context.WithTimeout(ctx, 4*time.Second)
+			defer cancel()
+			r := incompressibleTurn(fmt.Sprint(name, i), 3<<20)
+			r.Program, r.Shard = fmt.Sprint(i), int32(i)
+			outcomes[i] = outcomeOf(h.End(limited, r, time.Now()))
+		})
+	}
+	running.Wait()
+	return outcomes
+}
+
 // Large turns are cut, as no append ends in its time limit while they share a slow link.
 func TestLargeTurnsAreCutBehindSlowLink(t *testing.T) {
 	for _, turns := range []int{1, 2, 3, 4, 6} {
-		t.Run(fmt.Sprint(turns, " at once"), func(t *testing.T) {
-			runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
-				link := make(slowLink, 1)
-				config := f.config("a")
-				config.RecordBytes, config.CallBytes = 256<<10, callBytes
-				config.Store = relayer.New(relayer.Config{
-					Direct: linkedStore{limitedStore{Store: config.Store, limit: callBytes}, link},
-					Relays: func() []relayer.Relay {
-						return []relayer.Relay{{Address: "other", Ledger: linkedLedger{store: f.store.Host("other"), link: link}}}
-					},
-					Counters: config.Counters, Logger: config.Logger,
-				})
-				config.Partitions = nil
-				for part := range turns {
-					config.Partitions = append(config.Partitions, connector.Partition{Topic: "turns", Part: part})
-				}
-				a := keeper.New(ctx, config)
-				var running sync.WaitGroup
-				outcomes := make([]string, turns)
-				for i := range turns {
-					running.Go(func() {
-						limited, cancel := context.WithTimeout(ctx, 4*time.Second)
-						defer cancel()
-						r := incompressibleTurn(fmt.Sprint(i), 3<<20)
-						r.Program, r.Shard = fmt.Sprint(i), int32(i)
-						outcomes[i] = outcomeOf(a.End(limited, r, time.Now()))
-					})
-				}
-				running.Wait()
-				for i, got := range outcomes {
-					if diff := cmp.Diff("recorded", got); diff != "" {
-						t.Errorf("end of turn %d (-want +got):\n%s", i, diff)
+		for _, idle := range []int{0, 3} {
+			t.Run(fmt.Sprintf("%d at once, after %d on an idle link", turns, idle), func(t *testing.T) {
+				runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
+					h := f.startSlowLinkHome(ctx, turns)
+					for i := range idle {
+						h.endLargeTurns(ctx, fmt.Sprint("idle", i), 1)
 					}
-				}
-				// The appends of turns that were given up go on.
-				time.Sleep(time.Minute)
+					for i, got := range h.endLargeTurns(ctx, "turn", turns) {
+						if diff := cmp.Diff("recorded", got); diff != "" {
+							t.Errorf("end of turn %d (-want +got):\n%s", i, diff)
+						}
+					}
+					// The appends of turns that were given up go on.
+					time.Sleep(time.Minute)
+				})
 			})
-		})
+		}
 	}
 }
