End at once what no home can record, and tell it from a slow home

What callers saw: a turn that the store takes no record of, or that can't be encoded, was cut only at the time limit. Until then its text was sent to the home of its own shard up to four times and to those of three fallback shards, each of which was avoided for 0.5 s as if it had failed; so turns of other programs moved between homes.

Cause: a home answered with an error of no kind, as a home that fails does.

Change: the home answers with the code out_of_range. The navigator neither avoids it nor asks another one, and the entry host cuts the turn at once. The line of the request says "no shard can record the turn" with the cause, where a slow store gives "no shard has recorded the turn". Hosts of earlier releases answer, and take the answer, as before.

--- a/entry_peers.go
+++ b/entry_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net/http"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
 
 	"github.com/citronpier/citronpier/allocator"
 	"github.com/citronpier/citronpier/connector"
@@ -109,8 +111,14 @@
 	return l.keeper.Bind(r, time.Now()), nil
 }
 
+// End returns an error with the code navigator.UnrecordableCode for a turn that no home can record.
 func (l localHome) End(ctx context.Context, r *messenger.EndRequest) (*messenger.EndReply, error) {
-	return l.keeper.End(ctx, r, time.Now())
+	reply, err := l.keeper.End(ctx, r, time.Now())
+	var unrecordable *keeper.UnrecordableError
+	if errors.As(err, &unrecordable) {
+		return nil, twirp.NewError(navigator.UnrecordableCode, unrecordable.Cause.Error())
+	}
+	return reply, err
 }
 
 func (l localHome) Find(ctx context.Context, r *messenger.FindRequest) (*messenger.FindReply, error) {
--- a/forwarder/home_test.go
+++ b/forwarder/home_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 )
 
@@ -28,6 +29,8 @@
 	// that End returns.
 	ended  []*messenger.EndRequest
 	endErr error
+	// unrecordable is true if no home can record a turn.
+	unrecordable bool
 	// recorded has the shard of each call of End that was answered with a record.
 	recorded []int32
 	// settled, unless nil, is closed at the first call of End.
@@ -81,6 +84,9 @@
 	if h.unavailable[r.GetShard()] && !r.GetPatient() {
 		return &messenger.EndReply{Away: true}, h.endErr
 	}
+	if h.unrecordable && r.GetRetain() {
+		return nil, &keeper.UnrecordableError{Cause: io.ErrShortBuffer}
+	}
 	if h.chainless && r.GetCached() && r.Chain == nil {
 		return &messenger.EndReply{NeedsChain: true}, h.endErr
 	}
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -36,8 +37,15 @@
 // Unwrap returns the cause.
 func (e *NotRecordedError) Unwrap() error { return e.Cause }
 
+// isUnrecordable reports whether no home can record a turn.
+func isUnrecordable(err error) bool {
+	var unrecordable *keeper.UnrecordableError
+	return errors.As(err, &unrecordable)
+}
+
 // recordTurn settles and records a turn whose response is complete. It returns once
-// the record is in the store.
+// the record is in the store. The error is a *NotRecordedError, or a *keeper.UnrecordableError at
+// once if no home can record the turn.
 func (e *exchange) recordTurn(ctx context.Context, t *turn) error {
 	t.mayBeRecorded = true
 	r := e.endRequest(t)
@@ -48,7 +56,7 @@
 	r.Retention = t.kind.Retention.Milliseconds()
 	r.Cached = r.GetPrevious() != ""
 	recorded, err := e.recordInOwnShard(ctx, t, r)
-	if !recorded {
+	if !recorded && !isUnrecordable(err) {
 		err = e.recordAnywhere(ctx, t, r, err)
 	}
 	if err != nil {
@@ -87,19 +95,18 @@
 // no fallback shard takes the record, home is sent again, and the turn's own shard then
 // waits for its partition for up to patientTimeout. If that fails too, all is tried again
 // until ctx ends: the shard's home may be moving, and a fallback shard may come back. A turn
-// that is recorded twice is one turn. The error is a *NotRecordedError.
+// that is recorded twice is one turn. The error is that of recordTurn.
 func (e *exchange) recordAnywhere(ctx context.Context, t *turn, home *messenger.EndRequest, err error) error {
 	patient := proto.CloneOf(home)
 	patient.Patient = true
 	for pause := minRecordPause; ctx.Err() == nil; pause = min(2*pause, maxRecordPause) {
-		if e.recordInFallbackShard(ctx, t, home) {
-			return nil
+		var recorded bool
+		if recorded, err = e.recordInFallbackShard(ctx, t, home); recorded || isUnrecordable(err) {
+			return err
 		}
 		began := time.Now()
-		var recorded bool
-		recorded, err = e.waitForOwnShard(ctx, t, patient)
-		if recorded {
-			return nil
+		if recorded, err = e.waitForOwnShard(ctx, t, patient); recorded || isUnrecordable(err) {
+			return err
 		}
 		e.config.Logger.Info().Err(err).Str("id", home.GetTurn()).Int32("own", home.GetShard()).Msg("no shard has recorded the turn, trying again")
 		waiter.Sleep(ctx, pause-time.Since(began))
@@ -119,8 +126,10 @@
 
 // recordInFallbackShard records a turn in another shard than its own. Later turns find
 // the record there because a turn is looked up in all shards. The fallback shards are
-// tried one after the other. It returns false if none of them took the record.
-func (e *exchange) recordInFallbackShard(ctx context.Context, t *turn, home *messenger.EndRequest) bool {
+// tried one after the other. It returns false if none of them took the record. The error is that
+// of the last one, or a *keeper.UnrecordableError.
+func (e *exchange) recordInFallbackShard(ctx context.Context, t *turn, home *messenger.EndRequest) (bool, error) {
+	var lastErr error
 	chain := e.previousChain(t)
 	for _, shard := range keeper.FallbackShards(int(home.GetShard()), e.config.Shards) {
 		r := proto.CloneOf(home)
@@ -130,11 +139,11 @@
 			Int("shard", shard).Bool("recorded", reply.GetRecorded()).Msg("tried to record turn in fallback shard")
 		if err == nil && reply.GetRecorded() {
 			e.config.Counters.Retried(counter.RetryFallbackShard)
-			return true
+			return true, nil
 		}
-		if ctx.Err() != nil {
-			return false
+		if lastErr = err; ctx.Err() != nil || isUnrecordable(err) {
+			break
 		}
 	}
-	return false
+	return false, lastErr
 }
--- a/forwarder/turn_test.go
+++ b/forwarder/turn_test.go
@@ -205,6 +205,33 @@
 	}
 }
 
+// A turn that no home can record is offered to all shards until the caller's time is over.
+func TestTurnThatNoHomeCanRecordIsOfferedToOthers(t *testing.T) {
+	own := int32(keeper.Shard("p", 4))
+	for name, unavailable := range map[string]map[int32]bool{"own shard": nil, "fallback shard": {own: true}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.home.unavailable, f.home.unrecordable = unavailable, true
+			f.start(t, retained(), 1, f.startUpstream(t, "u", streamEvents(0)))
+			r := turnRequest()
+			r.Deadline = time.Now().Add(4 * time.Second)
+			outcome, _ := f.serve(t, r)
+			retained := 0
+			for _, end := range f.home.requests() {
+				if end.GetRetain() {
+					retained++
+				}
+			}
+			if diff := cmp.Diff([]any{"cut cut", len(unavailable) + 1}, []any{outcome, retained}); diff != "" {
+				t.Errorf("outcome, requests to record it (-want +got):\n%s", diff)
+			}
+			if left := time.Until(r.Deadline); left < 2*time.Second {
+				t.Errorf("cut %s before the deadline", left)
+			}
+		})
+	}
+}
+
 func TestAnsweredTurnCutByOneFailureOfItsHome(t *testing.T) {
 	failure := &navigator.NoHomeError{Cause: io.ErrUnexpectedEOF}
 	own := int32(keeper.Shard("p", 4))
--- a/keeper/errors.go
+++ b/keeper/errors.go
@@ -27,6 +27,16 @@
 	return fmt.Sprintf("the store takes no append of %d bytes, which a change of shard %s needs", e.Bytes, e.Shard)
 }
 
+// UnrecordableError reports a turn that no home can record in any shard: the store takes no record
+// of it, or it can't be encoded.
+type UnrecordableError struct{ Cause error }
+
+// Error implements the error interface.
+func (e *UnrecordableError) Error() string { return "no shard can record the turn: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnrecordableError) Unwrap() error { return e.Cause }
+
 // recordRefusedError reports that the store refused a record for its size, and that smaller ones
 // were not tried yet.
 type recordRefusedError struct {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -159,7 +159,8 @@
 // unavailable. The caller then records the turn in a fallback shard with a request
 // that has Aside set; that request settles nothing. The reply has NeedsChain set if the
 // shard lacks the chain of the previous turn and the caller holds it. The caller then
-// sends the request again with the chain.
+// sends the request again with the chain. The error is an *UnrecordableError if no home can
+// record the turn.
 func (k *Keeper) End(ctx context.Context, r *messenger.EndRequest, now time.Time) (*messenger.EndReply, error) {
 	s, ok := k.openShard(int(r.GetShard()), r.GetForce(), now)
 	if !ok {
@@ -186,6 +187,8 @@
 		return &messenger.EndReply{Recorded: true}, nil
 	case errors.As(err, &chainErr):
 		return &messenger.EndReply{NeedsChain: true}, nil
+	case isUnappendable(err):
+		return nil, &UnrecordableError{Cause: err}
 	case errors.As(err, &interruptedErr):
 		if !r.GetAside() {
 			s.deferSettlement(r)
--- a/keeper/large_test.go
+++ b/keeper/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -106,7 +107,9 @@
 				defer cancel()
 				began := time.Now()
 				_, err := a.End(limited, incompressibleTurn("1", 3<<20), time.Now())
-				if _, ok := err.(*keeper.TooLargeError); !ok || time.Since(began) > 0 {
+				var tooLarge *keeper.TooLargeError
+				var unrecordable *keeper.UnrecordableError
+				if !errors.As(err, &tooLarge) || !errors.As(err, &unrecordable) || time.Since(began) > 0 {
 					t.Errorf("end of the large turn after %v: %v", time.Since(began), err)
 				}
 				other := endRequest("2", "")
--- a/navigator/navigator.go
+++ b/navigator/navigator.go
@@ -15,6 +15,7 @@
 
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
+	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/locator"
 	"github.com/citronpier/citronpier/messenger"
 )
@@ -188,25 +189,41 @@
 
 // isMissingMethod reports whether a call failed because the called host's release does not
 // have the method.
-func isMissingMethod(err error) bool {
+func isMissingMethod(err error) bool { return hasCode(err, twirp.BadRoute) }
+
+// hasCode reports whether a called host answered with an error of a code.
+func hasCode(err error, code twirp.ErrorCode) bool {
 	var twirpErr twirp.Error
-	return errors.As(err, &twirpErr) && twirpErr.Code() == twirp.BadRoute
+	return errors.As(err, &twirpErr) && twirpErr.Code() == code
 }
 
+// UnrecordableCode is the code of the error with which a home answers End for a turn that no home
+// can record. The host is healthy.
+const UnrecordableCode = twirp.OutOfRange
+
 // End calls End at the home of the request's shard, which settles a turn. If the
 // turn is retained, the home replies once the turn is recorded in the store or
 // the shard's partition turns out to be unavailable. End sets r.Force. The error
-// is a *NoHomeError.
+// is a *NoHomeError, or a *keeper.UnrecordableError if no home can record the turn.
 func (n *Navigator) End(ctx context.Context, r *messenger.EndRequest) (*messenger.EndReply, error) {
 	timeout := settleTimeout
 	if r.GetRetain() {
 		// Recording the turn in the store may take until the deadline of ctx.
 		timeout = 0
 	}
-	return callHome(ctx, n, r.GetShard(), timeout,
+	var unrecordable error
+	reply, err := callHome(ctx, n, r.GetShard(), timeout,
 		func(ctx context.Context, h Home, force bool) (*messenger.EndReply, bool, error) {
 			r.Force = force
 			reply, err := h.End(ctx, r)
+			if hasCode(err, UnrecordableCode) {
+				unrecordable = &keeper.UnrecordableError{Cause: err}
+				return nil, false, nil
+			}
 			return reply, reply.GetElsewhere(), err
 		})
+	if err == nil {
+		err = unrecordable
+	}
+	return reply, err
 }
