Refuse large turns that the store is known not to record in time

What callers saw: at a store too slow for turns of 3 MiB, each such turn was run, its events passed on and its stream cut at the time limit, however often it was sent, and each try cost an upstream's work and the program's budget.

Cause: whether a turn can be recorded showed only after it was run, and nothing remembered it.

Change: an entry host remembers large turns (256 KiB and more) that no shard recorded in the time that they had. A turn that is as large and has no more time is refused before it is sent: 503, reason `log`, not run, with the time after which one is tried again, 5 s at first and up to 40 s. One as large that is recorded ends that at once. Smaller turns, and small ones at any time, are served as before. A caller who leaves says nothing about the store.

Weighed, and not done: to record the input while the upstream works. To record it before the turn is sent is slower for each large turn in calm.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,6 +112,8 @@
 	known *lru.Cache[knownProgram, struct{}]
 	// denied logs refused keys and exceeded limits.
 	denied zerolog.Logger
+	// recordings has the large turns that the store did not record.
+	recordings *recordingFailures
 	// upstreamLoads has the loads that the admission of programs uses.
 	upstreamLoads loadCache
 }
@@ -120,7 +122,7 @@
 func New(c Config) *Forwarder {
 	return &Forwarder{
 		config: c, chains: newChainCache(c.ChainBytes), losses: &lossQueue{}, known: newKnownPrograms(),
-		denied: newDeniedLogger(c.Logger),
+		denied: newDeniedLogger(c.Logger), recordings: &recordingFailures{},
 	}
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -103,7 +103,9 @@
 		return Answered{Status: http.StatusOK}
 	}
 	recordStart := time.Now()
-	if err := e.recordTurn(ctx, t); err != nil {
+	err := e.recordTurn(ctx, t)
+	e.noteRecording(ctx, t, err)
+	if err != nil {
 		e.settleInBackground(t)
 		return e.cutOutcome(ctx, err)
 	}
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -42,6 +42,8 @@
 	// memory is that of the earlier turns which the request to the upstream contains; nil if it
 	// contains none.
 	memory *allocator.Grant
+	// left is the time that a large turn had when it was admitted.
+	left time.Duration
 	// place is that among the large turns which are kept; nil if the turn is not large.
 	place *allocator.Addition
 	// mayBeRecorded is set once a home was asked to record the turn.
--- a/forwarder/turn_memory.go
+++ b/forwarder/turn_memory.go
@@ -11,12 +11,18 @@
 // large turns take a part of the memory for turns that are kept, so that usual ones find room.
 const largeTurnBytes = 256 << 10
 
+// isLarge reports whether the turn is to be kept and counts as large.
+func (t *turn) isLarge() bool { return t.kind.Retain && len(t.input) >= largeTurnBytes }
+
 // admitLarge returns the outcome of a large turn that is to be kept, if there is no memory for
-// it, and nil otherwise.
+// it or the store is known not to record it in time, and nil otherwise.
 func (e *exchange) admitLarge(t *turn, now time.Time) Outcome {
-	if !t.kind.Retain || len(t.input) < largeTurnBytes {
+	if !t.isLarge() {
 		return nil
 	}
+	if o := e.unrecordable(t, now); o != nil {
+		return o
+	}
 	var ok bool
 	if t.place, ok = e.config.LargeTurns.Add(int64(len(t.input)), t.kind.Retention, now); ok {
 		return nil
--- a/forwarder/turn_test.go
+++ b/forwarder/turn_test.go
@@ -216,13 +216,13 @@
 			r := turnRequest()
 			r.Deadline = time.Now().Add(4 * time.Second)
 			outcome, _ := f.serve(t, r)
-			retained := 0
+			records := 0
 			for _, end := range f.home.requests() {
 				if end.GetRetain() {
-					retained++
+					records++
 				}
 			}
-			if diff := cmp.Diff([]any{"cut cut", len(unavailable) + 1}, []any{outcome, retained}); diff != "" {
+			if diff := cmp.Diff([]any{"cut cut", len(unavailable) + 1}, []any{outcome, records}); diff != "" {
 				t.Errorf("outcome, requests to record it (-want +got):\n%s", diff)
 			}
 			if left := time.Until(r.Deadline); left < 2*time.Second {
