Split navigator: calls of homes, errors; let callHome know answers of healthy homes

Bind and End each carried an error past callHome in a variable of their own. An answerError now tells callHome that the home is healthy and that no other one is to be asked.

--- a/navigator/call.go
+++ b/navigator/call.go
@@ -15,7 +15,8 @@
 // that the next attempt goes to the next host, unless the host is merely slow.
 // In the second and later attempts, the argument force of call is true: the called
 // host then becomes home even if its own view names another home. The result
-// elsewhere of call reports that the called host replied that it is not home.
+// elsewhere of call reports that the called host replied that it is not home. An *answerError of
+// call ends the attempts.
 func callHome[T any](ctx context.Context, n *Navigator, shard int32, timeout time.Duration,
 	call func(ctx context.Context, h Home, force bool) (reply T, elsewhere bool, err error),
 ) (T, error) {
@@ -36,6 +37,10 @@
 		reply, elsewhere, lastErr = call(attemptCtx, n.config.Open(h), attempt > 0)
 		slowButLive = n.isSlowButLive(h.ID, attemptCtx)
 		cancel()
+		var answer *answerError
+		if errors.As(lastErr, &answer) {
+			return reply, answer.Answer
+		}
 		if lastErr == nil && !elsewhere {
 			return reply, nil
 		}
--- a/navigator/navigator.go
+++ b/navigator/navigator.go
@@ -5,17 +5,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/twitchtv/twirp"
 
 	"github.com/citronpier/citronpier/counter"
 	"github.com/citronpier/citronpier/descriptor"
-	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/locator"
 	"github.com/citronpier/citronpier/messenger"
 )
@@ -83,38 +80,6 @@
 // New returns a Navigator without suspects.
 func New(c Config) *Navigator { return &Navigator{config: c, suspects: make(map[string]time.Time)} }
 
-// NoHomeError reports that no host served a call as home of the shard. Cause is the
-// error of the last attempt or of the context. It is nil if every called host replied
-// that it is not home, or if no host is known.
-type NoHomeError struct {
-	Shard int32
-	Cause error
-}
-
-// Error implements the error interface.
-func (e *NoHomeError) Error() string {
-	return fmt.Sprintf("no host served the call as home of shard %d: %v", e.Shard, e.Cause)
-}
-
-// Unwrap returns the error of the last attempt.
-func (e *NoHomeError) Unwrap() error { return e.Cause }
-
-// NotKeptError reports that the home of the shard can't keep the build that began a stream,
-// because it is of an earlier release, which has no Bind. The host is healthy. Cause is the
-// error of the call.
-type NotKeptError struct {
-	Shard int32
-	Cause error
-}
-
-// Error implements the error interface.
-func (e *NotKeptError) Error() string {
-	return fmt.Sprintf("the home of shard %d keeps no versions of streams: %v", e.Shard, e.Cause)
-}
-
-// Unwrap returns the error of the call.
-func (e *NotKeptError) Unwrap() error { return e.Cause }
-
 // shardKey returns the key from which rendezvous hashing finds the home of a
 // shard.
 func shardKey(shard int) string { return fmt.Sprintf("shard/%d", shard) }
@@ -154,76 +119,3 @@
 	n.mu.Unlock()
 	n.config.Logger.Info().Err(cause).Str("peer", host).Dur("for_ms", suspectDuration).Msg("call to home failed, avoiding the host")
 }
-
-// Begin calls Begin at the home of the request's shard: the home reserves budget for
-// a turn and returns the text of the earlier turns that the turn continues (its
-// chain). Begin sets r.Force. The error is a *NoHomeError.
-func (n *Navigator) Begin(ctx context.Context, r *messenger.BeginRequest) (*messenger.BeginReply, error) {
-	return callHome(ctx, n, r.GetShard(), beginTimeout,
-		func(ctx context.Context, h Home, force bool) (*messenger.BeginReply, bool, error) {
-			r.Force = force
-			reply, err := h.Begin(ctx, r)
-			return reply, reply.GetVerdict() == messenger.BeginReply_ELSEWHERE, err
-		})
-}
-
-// Bind calls Bind at the home of the request's shard, which keeps the build that began the
-// stream of an attempt. Bind sets r.Force. The error is a *NoHomeError or a *NotKeptError.
-func (n *Navigator) Bind(ctx context.Context, r *messenger.BindRequest) (*messenger.BindReply, error) {
-	var notKept error
-	reply, err := callHome(ctx, n, r.GetShard(), settleTimeout,
-		func(ctx context.Context, h Home, force bool) (*messenger.BindReply, bool, error) {
-			r.Force = force
-			reply, err := h.Bind(ctx, r)
-			if isMissingMethod(err) {
-				notKept = &NotKeptError{Shard: r.GetShard(), Cause: err}
-				return nil, false, nil
-			}
-			return reply, reply.GetElsewhere(), err
-		})
-	if err == nil {
-		err = notKept
-	}
-	return reply, err
-}
-
-// isMissingMethod reports whether a call failed because the called host's release does not
-// have the method.
-func isMissingMethod(err error) bool { return hasCode(err, twirp.BadRoute) }
-
-// hasCode reports whether a called host answered with an error of a code.
-func hasCode(err error, code twirp.ErrorCode) bool {
-	var twirpErr twirp.Error
-	return errors.As(err, &twirpErr) && twirpErr.Code() == code
-}
-
-// UnrecordableCode is the code of the error with which a home answers End for a turn that no home
-// can record. The host is healthy.
-const UnrecordableCode = twirp.OutOfRange
-
-// End calls End at the home of the request's shard, which settles a turn. If the
-// turn is retained, the home replies once the turn is recorded in the store or
-// the shard's partition turns out to be unavailable. End sets r.Force. The error
-// is a *NoHomeError, or a *keeper.UnrecordableError if no home can record the turn.
-func (n *Navigator) End(ctx context.Context, r *messenger.EndRequest) (*messenger.EndReply, error) {
-	timeout := settleTimeout
-	if r.GetRetain() {
-		// Recording the turn in the store may take until the deadline of ctx.
-		timeout = 0
-	}
-	var unrecordable error
-	reply, err := callHome(ctx, n, r.GetShard(), timeout,
-		func(ctx context.Context, h Home, force bool) (*messenger.EndReply, bool, error) {
-			r.Force = force
-			reply, err := h.End(ctx, r)
-			if hasCode(err, UnrecordableCode) {
-				unrecordable = &keeper.UnrecordableError{Cause: err}
-				return nil, false, nil
-			}
-			return reply, reply.GetElsewhere(), err
-		})
-	if err == nil {
-		err = unrecordable
-	}
-	return reply, err
-}
