Give large appends the time that slow links need

Cause: an append had 400 ms while another host could relay it, and 600 ms through that host, whatever its size. Six records of 256 KiB that share the link take 570 ms; each was begun again and shared the link with those that were given up. The test took 75 Mbit/s for the slowest documented link.

Change: the time limits of an append grow by a second per MiB, up to a second. For a turn of 17 kB that is 16 ms. A path that is dead is left at most a second later, by large appends only.

Test: keeper TestLargeTurnsAreCutBehindSlowLink now has the slowest link, too; 2 of its 18 cases failed before, both with six turns of 1 MiB.

--- a/keeper/slow_link_test.go
+++ b/keeper/slow_link_test.go
@@ -16,23 +16,30 @@
 )
 
 const (
-	// slowLinkBytes is the rate of the slowest documented links, 75 Mbit/s, in bytes a second.
-	slowLinkBytes = 75_000_000 / 8
+	// slowLinkRate and slowestLinkRate are the rates of slow documented links, 75 and 22 Mbit/s, in
+	// bytes a second.
+	slowLinkRate    = 75_000_000 / 8
+	slowestLinkRate = 22_000_000 / 8
 	// partitionBytes is the rate at which a partition takes records, in bytes a second.
 	partitionBytes = 20_000_000
 	// linkChunk is the size in bytes of the pieces in which calls share a link.
 	linkChunk = 16 << 10
 )
 
-// slowLink is the link of a host, which all its calls share. It holds one value while a call sends.
-type slowLink chan struct{}
+// slowLink is the link of a host, which all its calls share.
+type slowLink struct {
+	// busy holds one value while a call sends.
+	busy chan struct{}
+	// rate is in bytes a second.
+	rate int
+}
 
 // transfer sends records over the link. The error is a *connector.LostError if ctx ends first.
 func (l slowLink) transfer(ctx context.Context, records [][]byte) error {
 	for left := bytesOf(records); left > 0 && ctx.Err() == nil; left -= linkChunk {
-		l <- struct{}{}
-		time.Sleep(time.Duration(min(left, linkChunk)) * time.Second / slowLinkBytes)
-		<-l
+		l.busy <- struct{}{}
+		time.Sleep(time.Duration(min(left, linkChunk)) * time.Second / time.Duration(l.rate))
+		<-l.busy
 	}
 	if ctx.Err() != nil {
 		return &connector.LostError{Cause: ctx.Err()}
@@ -81,9 +88,9 @@
 // link, also those through another host.
 type slowLinkHome struct{ *keeper.Keeper }
 
-// startSlowLinkHome starts a home for a number of programs.
-func (f *fixture) startSlowLinkHome(ctx context.Context, programs int) slowLinkHome {
-	link := make(slowLink, 1)
+// startSlowLinkHome starts a home for a number of programs, with a link of some rate.
+func (f *fixture) startSlowLinkHome(ctx context.Context, programs, rate int) slowLinkHome {
+	link := slowLink{busy: make(chan struct{}, 1), rate: rate}
 	config := f.config("a")
 	config.RecordBytes, config.CallBytes = recordBytes, callBytes
 	config.Store = relayer.New(relayer.Config{
@@ -100,15 +107,15 @@
 	return slowLinkHome{keeper.New(ctx, config)}
 }
 
-// endLargeTurns ends a large turn of each program at once and returns the outcomes.
-func (h slowLinkHome) endLargeTurns(ctx context.Context, name string, programs int) []string {
+// endLargeTurns ends a large turn of some size of each program at once and returns the outcomes.
+func (h slowLinkHome) endLargeTurns(ctx context.Context, name string, programs, size int) []string {
 	var running sync.WaitGroup
 	outcomes := make([]string, programs)
 	for i := range programs {
 		running.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, 4*time.Second)
 			defer cancel()
-			r := incompressibleTurn(fmt.Sprint(name, i), 3<<20)
+			r := incompressibleTurn(fmt.Sprint(name, i), size)
 			r.Program, r.Shard = fmt.Sprint(i), int32(i)
 			outcomes[i] = outcomeOf(h.End(limited, r, time.Now()))
 		})
@@ -119,15 +126,18 @@
 
 // Large turns are cut, as no append ends in its time limit while they share a slow link.
 func TestLargeTurnsAreCutBehindSlowLink(t *testing.T) {
-	for _, turns := range []int{1, 2, 3, 4, 6} {
+	for _, c := range []struct{ rate, size, turns int }{
+		{slowLinkRate, 3 << 20, 1}, {slowLinkRate, 3 << 20, 2}, {slowLinkRate, 3 << 20, 3}, {slowLinkRate, 3 << 20, 4}, {slowLinkRate, 3 << 20, 6},
+		{slowestLinkRate, 3 << 20, 1}, {slowestLinkRate, 3 << 20, 2}, {slowestLinkRate, 1 << 20, 4}, {slowestLinkRate, 1 << 20, 6},
+	} {
 		for _, idle := range []int{0, 3} {
-			t.Run(fmt.Sprintf("%d at once, after %d on an idle link", turns, idle), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d of %d KiB at once at %d bytes a second, after %d on an idle link", c.turns, c.size>>10, c.rate, idle), func(t *testing.T) {
 				runInBubble(t, func(ctx context.Context, t *testing.T, f *fixture) {
-					h := f.startSlowLinkHome(ctx, turns)
+					h := f.startSlowLinkHome(ctx, c.turns, c.rate)
 					for i := range idle {
-						h.endLargeTurns(ctx, fmt.Sprint("idle", i), 1)
+						h.endLargeTurns(ctx, fmt.Sprint("idle", i), 1, c.size)
 					}
-					for i, got := range h.endLargeTurns(ctx, "turn", turns) {
+					for i, got := range h.endLargeTurns(ctx, "turn", c.turns, c.size) {
 						if diff := cmp.Diff("recorded", got); diff != "" {
 							t.Errorf("end of turn %d (-want +got):\n%s", i, diff)
 						}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,6 +27,10 @@
 	extraReadTimeout = 600 * time.Millisecond
 	// relayTimeout is the time limit of a call to the store through another host.
 	relayTimeout = 600 * time.Millisecond
+	// minAppendRate is the rate at which an append is sent at least, in bytes a second: its time
+	// limits grow with its size, by up to maxExtraAppendTime. Several appends may share a slow link.
+	minAppendRate      = 1 << 20
+	maxExtraAppendTime = time.Second
 	// MaxRelays is the maximum number of other hosts that are tried for one call.
 	MaxRelays = 2
 )
@@ -75,11 +79,26 @@
 	return &Relayer{config: c, byPartition: make(map[connector.Partition]directCalls)}
 }
 
+// extraTimes are added to the time limits of a call.
+type extraTimes struct {
+	// direct is for the direct call, and relayed for each call through another host.
+	direct, relayed time.Duration
+}
+
+// extraTimesOf returns the extra times of an append.
+func extraTimesOf(records [][]byte) extraTimes {
+	size := 0
+	for _, r := range records {
+		size += len(r)
+	}
+	extra := min(maxExtraAppendTime, time.Duration(size)*time.Second/minAppendRate)
+	return extraTimes{direct: extra, relayed: extra}
+}
+
 // callStore makes one call to the store. It calls the store directly if tryDirect
 // allows this. Otherwise, or if the direct call fails, it tries up to MaxRelays other
-// hosts. It does not relay a failed call to an unavailable partition. extraTimeout is
-// added to the time limit of the direct call only.
-func callStore[T any](ctx context.Context, r *Relayer, p connector.Partition, extraTimeout time.Duration,
+// hosts. It does not relay a failed call to an unavailable partition.
+func callStore[T any](ctx context.Context, r *Relayer, p connector.Partition, extra extraTimes,
 	direct func(context.Context) (T, error), relayed func(context.Context, Relay) (T, error),
 ) (T, error) {
 	now := time.Now()
@@ -91,7 +110,7 @@
 		if len(relays) == 0 {
 			timeout = onlyPathTimeout
 		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout+extraTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout+extra.direct)
 		result, err = direct(callCtx)
 		cancel()
 		if ctx.Err() == nil {
@@ -106,7 +125,7 @@
 			break
 		}
 		r.config.Counters.Stages.Add("relayed", 1)
-		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, relayTimeout+extra.relayed)
 		result, err = relayed(callCtx, relay)
 		cancel()
 		if isAnswer(err) {
@@ -123,7 +142,7 @@
 // Append implements connector.Store. A relayed call whose answer is lost returns
 // a *connector.LostError: the records may have been appended.
 func (r *Relayer) Append(ctx context.Context, p connector.Partition, records [][]byte, at int64) (connector.Appended, error) {
-	return callStore(ctx, r, p, 0,
+	return callStore(ctx, r, p, extraTimesOf(records),
 		func(ctx context.Context) (connector.Appended, error) {
 			return r.config.Direct.Append(ctx, p, records, at)
 		},
@@ -141,7 +160,7 @@
 // Read implements connector.Store. A read through another host does not wait for
 // new records.
 func (r *Relayer) Read(ctx context.Context, p connector.Partition, from int64, wait time.Duration) (connector.Records, error) {
-	return callStore(ctx, r, p, wait+extraReadTimeout,
+	return callStore(ctx, r, p, extraTimes{direct: wait + extraReadTimeout},
 		func(ctx context.Context) (connector.Records, error) {
 			return r.config.Direct.Read(ctx, p, from, wait)
 		},
