--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -178,7 +178,12 @@
 		}
 		return &messenger.EndReply{Away: true}, nil
 	}
-	err := k.recordTurn(ctx, s, r)
+	return k.endReply(s, r, k.recordTurn(ctx, s, r))
+}
+
+// endReply returns what End replies after a try to record a turn, which has failed unless err is
+// nil.
+func (k *Keeper) endReply(s *shard, r *messenger.EndRequest, err error) (*messenger.EndReply, error) {
 	var unavailableErr *UnavailableError
 	var interruptedErr *InterruptedError
 	var chainErr *ChainRequiredError
@@ -193,17 +198,21 @@
 		if !r.GetAside() {
 			s.deferSettlement(r)
 		}
-		k.config.Logger.Info().Err(err).Str("id", r.GetTurn()).Bool("aside", r.GetAside()).Msg("turn not recorded: shard has two homes")
+		s.logUnrecorded(r, err, "shard has two homes")
 		return &messenger.EndReply{Away: true}, nil
 	case errors.As(err, &unavailableErr) || (!s.isLoaded() && k.isUnavailable(s.partition, time.Now())):
-		k.config.Logger.Info().Err(err).Str("id", r.GetTurn()).Str("shard", s.partition.String()).
-			Bool("aside", r.GetAside()).Msg("turn not recorded: partition is unavailable")
+		s.logUnrecorded(r, err, "partition is unavailable")
 		return &messenger.EndReply{Away: true}, nil
 	default:
 		return nil, err
 	}
 }
 
+// logUnrecorded logs why a fallback shard is to record a turn.
+func (s *shard) logUnrecorded(r *messenger.EndRequest, err error, reason string) {
+	s.logger.Info().Err(err).Str("id", r.GetTurn()).Bool("aside", r.GetAside()).Msg("turn not recorded: " + reason)
+}
+
 // recordTurn appends a turn to the shard. The turn may continue a previous turn that
 // the shard does not have. The text of the previous turn and of all turns before it
 // (its chain) is then recorded together with the new turn.
--- a/keeper/slow_link_test.go
+++ b/keeper/slow_link_test.go
@@ -127,8 +127,15 @@
 // Large turns are cut, as no append ends in its time limit while they share a slow link.
 func TestLargeTurnsAreCutBehindSlowLink(t *testing.T) {
 	for _, c := range []struct{ rate, size, turns int }{
-		{slowLinkRate, 3 << 20, 1}, {slowLinkRate, 3 << 20, 2}, {slowLinkRate, 3 << 20, 3}, {slowLinkRate, 3 << 20, 4}, {slowLinkRate, 3 << 20, 6},
-		{slowestLinkRate, 3 << 20, 1}, {slowestLinkRate, 3 << 20, 2}, {slowestLinkRate, 1 << 20, 4}, {slowestLinkRate, 1 << 20, 6},
+		{slowLinkRate, 3 << 20, 1},
+		{slowLinkRate, 3 << 20, 2},
+		{slowLinkRate, 3 << 20, 3},
+		{slowLinkRate, 3 << 20, 4},
+		{slowLinkRate, 3 << 20, 6},
+		{slowestLinkRate, 3 << 20, 1},
+		{slowestLinkRate, 3 << 20, 2},
+		{slowestLinkRate, 1 << 20, 4},
+		{slowestLinkRate, 1 << 20, 6},
 	} {
 		for _, idle := range []int{0, 3} {
 			t.Run(fmt.Sprintf("%d of %d KiB at once at %d bytes a second, after %d on an idle link", c.turns, c.size>>10, c.rate, idle), func(t *testing.T) {
