--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,7 +112,7 @@
 	known *lru.Cache[knownProgram, struct{}]
 	// denied logs refused keys and exceeded limits.
 	denied zerolog.Logger
-	// recordings has the large turns that the store did not record.
+	// recordings remembers large turns that the store did not record.
 	recordings *recordingFailures
 	// upstreamLoads has the loads that the admission of programs uses.
 	upstreamLoads loadCache
--- a/forwarder/recording.go
+++ b/forwarder/recording.go
@@ -58,7 +58,7 @@
 	}
 	f.left = max(f.left, left)
 	if now.Before(f.until) {
-		// It ran at the same time as the one that failed first.
+		// The turn was admitted before the failure that until counts from.
 		return
 	}
 	f.wait = min(maxRecordingWait, max(minRecordingWait, recordingWaitFactor*f.wait))
@@ -74,9 +74,9 @@
 	}
 }
 
-// unrecordable returns the outcome of a large turn that is known not to be recorded in the time
-// that it has, and nil otherwise.
-func (e *exchange) unrecordable(t *turn, now time.Time) Outcome {
+// refuseUnrecorded returns the outcome of a large turn if one as large was not recorded in the time
+// that this one has, and nil otherwise.
+func (e *exchange) refuseUnrecorded(t *turn, now time.Time) Outcome {
 	t.left = e.remaining(now)
 	wait, known := e.recordings.refusal(len(t.input), t.left, now)
 	if !known {
--- a/forwarder/turn_memory.go
+++ b/forwarder/turn_memory.go
@@ -20,7 +20,7 @@
 	if !t.isLarge() {
 		return nil
 	}
-	if o := e.unrecordable(t, now); o != nil {
+	if o := e.refuseUnrecorded(t, now); o != nil {
 		return o
 	}
 	var ok bool
