Remember turns that were not recorded when a slower one with more time was

What callers saw: at a store that takes 600 ms for a large turn, one with 300 ms is cut, and known to be. As soon as another one with 3 s is recorded, the next with 300 ms is run, paid for and cut again.

Cause: any recorded turn that was as large cleared what is known, however long it took.

Evidence: found in reading the change again, shown by the test below.

Change: only a turn that was recorded within the time that the failed ones had clears it.

Test: forwarder TestLargeTurnIsRunAfterOneWithMoreTimeWasRecorded; before, the third turn is "cut timeout" in place of "log 503 no".

--- a/forwarder/home_test.go
+++ b/forwarder/home_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/citronpier/citronpier/internal/waiter"
 	"github.com/citronpier/citronpier/keeper"
 	"github.com/citronpier/citronpier/messenger"
 )
@@ -31,6 +33,8 @@
 	endErr error
 	// unrecordable is true if no home can record a turn.
 	unrecordable bool
+	// recordTime is how long the home takes to record a turn.
+	recordTime time.Duration
 	// recorded has the shard of each call of End that was answered with a record.
 	recorded []int32
 	// settled, unless nil, is closed at the first call of End.
@@ -67,6 +71,12 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if r.GetRetain() {
+		waiter.Sleep(ctx, h.recordTime)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ended = append(h.ended, proto.CloneOf(r))
--- a/forwarder/recording.go
+++ b/forwarder/recording.go
@@ -28,8 +28,8 @@
 // value remembers none. It is safe for concurrent use.
 type recordingFailures struct {
 	mu sync.Mutex
-	// bytes is the size of the smallest turn that was not recorded since one of this size was, and
-	// left the longest time that such a turn had when it was admitted.
+	// bytes is the size of the smallest turn that was not recorded since one of this size was, in as
+	// little time, and left the longest time that such a turn had when it was admitted.
 	bytes int
 	left  time.Duration
 	// until is when the next such turn may be tried, and wait how long the last time was; 0 if no
@@ -65,11 +65,12 @@
 	f.until = now.Add(f.wait)
 }
 
-// succeeded notes that a turn was recorded.
-func (f *recordingFailures) succeeded(bytes int) {
+// succeeded notes that a turn was recorded some time after it was admitted. One that has taken
+// longer than the turns that were not recorded had says nothing about them.
+func (f *recordingFailures) succeeded(bytes int, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if bytes >= f.bytes {
+	if bytes >= f.bytes && took <= f.left {
 		f.bytes, f.left, f.until, f.wait = 0, 0, time.Time{}, 0
 	}
 }
@@ -93,7 +94,7 @@
 	}
 	switch {
 	case err == nil:
-		e.recordings.succeeded(len(t.input))
+		e.recordings.succeeded(len(t.input), t.left-e.remaining(time.Now()))
 	case isUnrecordable(err):
 		e.recordings.failed(len(t.input), math.MaxInt64, time.Now())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/forwarder/recording_test.go
+++ b/forwarder/recording_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// A turn that had the time for a slow record has turns with less time run and cut again.
+func TestLargeTurnIsRunAfterOneWithMoreTimeWasRecorded(t *testing.T) {
+	f := newFixture()
+	f.start(t, retained(), 1, f.startUpstream(t, "u", streamEvents(0)))
+	f.home.setEndErr(&navigator.NoHomeError{Cause: io.ErrUnexpectedEOF})
+	first, _ := f.serve(t, largeTurn(300<<10, 300*time.Millisecond))
+	f.home.setEndErr(nil)
+	f.home.recordTime = 600 * time.Millisecond
+	slow, _ := f.serve(t, largeTurn(300<<10, 3*time.Second))
+	again, _ := f.serve(t, largeTurn(300<<10, 300*time.Millisecond))
+	if diff := cmp.Diff([]string{"cut timeout", "200", "log 503 no"}, []string{first, slow, again}); diff != "" {
+		t.Errorf("first, with more time, and as the first (-want +got):\n%s", diff)
+	}
+}
+
 // A small turn is refused because a large one was not recorded.
 func TestSmallTurnIsRefusedAfterLargeOneWasNotRecorded(t *testing.T) {
 	f := newFixture()
