--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,7 +113,7 @@
 	// denied logs refused keys and exceeded limits.
 	denied zerolog.Logger
 	// recordings remembers large turns that the store did not record.
-	recordings *recordingFailures
+	recordings recordingFailures
 	// upstreamLoads has the loads that the admission of programs uses.
 	upstreamLoads loadCache
 }
@@ -122,7 +122,7 @@
 func New(c Config) *Forwarder {
 	return &Forwarder{
 		config: c, chains: newChainCache(c.ChainBytes), losses: &lossQueue{}, known: newKnownPrograms(),
-		denied: newDeniedLogger(c.Logger), recordings: &recordingFailures{},
+		denied: newDeniedLogger(c.Logger),
 	}
 }
 
--- a/forwarder/recording.go
+++ b/forwarder/recording.go
@@ -78,7 +78,6 @@
 // refuseUnrecorded returns the outcome of a large turn if one as large was not recorded in the time
 // that this one has, and nil otherwise.
 func (e *exchange) refuseUnrecorded(t *turn, now time.Time) Outcome {
-	t.left = e.remaining(now)
 	wait, known := e.recordings.refusal(len(t.input), t.left, now)
 	if !known {
 		return nil
@@ -86,18 +85,18 @@
 	return refused(refuser.New(refuser.Log, "the store has not recorded a turn of as many bytes in as much time").WithRetry(wait))
 }
 
-// noteRecording remembers whether a large turn was recorded. A caller who left says nothing
+// noteRecording remembers whether a large turn was recorded by now. A caller who left says nothing
 // about the store.
-func (e *exchange) noteRecording(ctx context.Context, t *turn, err error) {
+func (e *exchange) noteRecording(ctx context.Context, t *turn, err error, now time.Time) {
 	if !t.isLarge() {
 		return
 	}
 	switch {
 	case err == nil:
-		e.recordings.succeeded(len(t.input), t.left-e.remaining(time.Now()))
+		e.recordings.succeeded(len(t.input), t.left-e.remaining(now))
 	case isUnrecordable(err):
-		e.recordings.failed(len(t.input), math.MaxInt64, time.Now())
+		e.recordings.failed(len(t.input), math.MaxInt64, now)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		e.recordings.failed(len(t.input), t.left, time.Now())
+		e.recordings.failed(len(t.input), t.left, now)
 	}
 }
--- a/forwarder/recording_test.go
+++ b/forwarder/recording_test.go
@@ -35,9 +35,8 @@
 	play(largeTurn(size, 400*time.Millisecond))
 	play(largeTurn(2*size, 300*time.Millisecond))
 	f.home.setEndErr(nil)
-	for _, r := range []descriptor.Request{largeTurn(size, 3*time.Second), largeTurn(size, 400*time.Millisecond)} {
-		play(r)
-	}
+	play(largeTurn(size, 3*time.Second))
+	play(largeTurn(size, 400*time.Millisecond))
 	want := []string{"cut timeout", "log 503 no", "log 503 no", "200", "200"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("first, again, larger, with more time, and after one as large was recorded (-want +got):\n%s", diff)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -104,7 +104,7 @@
 	}
 	recordStart := time.Now()
 	err := e.recordTurn(ctx, t)
-	e.noteRecording(ctx, t, err)
+	e.noteRecording(ctx, t, err, time.Now())
 	if err != nil {
 		e.settleInBackground(t)
 		return e.cutOutcome(ctx, err)
--- a/forwarder/turn_memory.go
+++ b/forwarder/turn_memory.go
@@ -20,6 +20,7 @@
 	if !t.isLarge() {
 		return nil
 	}
+	t.left = e.remaining(now)
 	if o := e.refuseUnrecorded(t, now); o != nil {
 		return o
 	}
--- a/keeper/batch.go
+++ b/keeper/batch.go
@@ -64,7 +64,7 @@
 	}
 	size := 0
 	for i, r := range rest {
-		size += len(r) + recordFramingBytes
+		size += framedSize(r)
 		if i > 0 && size > limit {
 			return rest[:i]
 		}
@@ -72,11 +72,14 @@
 	return rest
 }
 
+// framedSize returns the size of a record in a call of the store, in bytes.
+func framedSize(record []byte) int { return len(record) + recordFramingBytes }
+
 // callSize returns the size of records in a call of the store, in bytes.
 func callSize(records [][]byte) int {
 	size := 0
 	for _, r := range records {
-		size += len(r) + recordFramingBytes
+		size += framedSize(r)
 	}
 	return size
 }
--- a/keeper/divided_test.go
+++ b/keeper/divided_test.go
@@ -28,7 +28,7 @@
 	smallRecord = 128
 	smallCall   = 400
 	// sizeFactor is by how much turns and limits are larger in the model whose store refuses sizes:
-	// records of smallRecord are the smallest ones that are divided.
+	// a refused record of smallRecord is not divided, as it is too small.
 	sizeFactor = 16
 	// modelTurns is the number of turns of one seed, modelHomes that of homes at a time.
 	modelTurns = 40
--- a/keeper/large_test.go
+++ b/keeper/large_test.go
@@ -170,6 +170,14 @@
 	return string(k.Find(ctx, &messenger.FindRequest{Turn: turn, Shards: []int32{0, 1}}, time.Now()).GetChain())
 }
 
+// checkWhole checks that another home reads all of a turn and of the turns before it.
+func (f *fixture) checkWhole(ctx context.Context, t *testing.T, told int, turn, want string) {
+	t.Helper()
+	if got := chainOf(ctx, f.startLimitedHome(ctx, platformHome("b", told)), turn); got != want {
+		t.Errorf("another home reads %d bytes of turn %s, %d were recorded", len(got), turn, len(want))
+	}
+}
+
 // wholeTurn returns the text of the turn that a request records.
 func wholeTurn(r *messenger.EndRequest) string { return string(r.GetInput()) + string(r.GetOutput()) }
 
@@ -194,10 +202,7 @@
 					if diff := cmp.Diff("recorded", outcome); diff != "" {
 						t.Fatalf("end (-want +got):\n%s", diff)
 					}
-					want := string(r.GetChain()) + wholeTurn(r)
-					if got := chainOf(ctx, f.startLimitedHome(ctx, platformHome("b", told)), "1"); got != want {
-						t.Errorf("another home reads %d bytes, %d were recorded", len(got), len(want))
-					}
+					f.checkWhole(ctx, t, told, "1", string(r.GetChain())+wholeTurn(r))
 				})
 			})
 		}
@@ -218,9 +223,7 @@
 		until := time.Now().Add(2 * storeRetention)
 		go f.expireUntil(partitions[0], until)
 		tickUntil(a, until)
-		if got := chainOf(ctx, f.startLimitedHome(ctx, platformHome("b", callBytes)), "1"); got != wholeTurn(r) {
-			t.Errorf("another home reads %d bytes, %d were recorded", len(got), len(wholeTurn(r)))
-		}
+		f.checkWhole(ctx, t, callBytes, "1", wholeTurn(r))
 	})
 }
 
@@ -250,9 +253,7 @@
 				if diff := cmp.Diff("recorded", outcomeOf(a.End(limited, r, time.Now()))); diff != "" {
 					t.Fatalf("end (-want +got):\n%s", diff)
 				}
-				if got := chainOf(ctx, f.startLimitedHome(ctx, platformHome("b", callBytes)), "1"); got != wholeTurn(r) {
-					t.Errorf("another home reads %d bytes, %d were recorded", len(got), len(wholeTurn(r)))
-				}
+				f.checkWhole(ctx, t, callBytes, "1", wholeTurn(r))
 			})
 		})
 	}
--- a/keeper/limit_test.go
+++ b/keeper/limit_test.go
@@ -29,9 +29,7 @@
 					if diff := cmp.Diff("recorded", outcomeOf(a.End(limited, r, time.Now()))); diff != "" {
 						t.Fatalf("end (-want +got):\n%s", diff)
 					}
-					if got := chainOf(ctx, f.startLimitedHome(ctx, platformHome("b", told)), "1"); got != wholeTurn(r) {
-						t.Errorf("another home reads %d bytes, %d were recorded", len(got), len(wholeTurn(r)))
-					}
+					f.checkWhole(ctx, t, told, "1", wholeTurn(r))
 				})
 			})
 		}
--- a/navigator/navigator_test.go
+++ b/navigator/navigator_test.go
@@ -65,11 +65,16 @@
 		c.hosts = append(c.hosts, descriptor.Host{ID: name})
 		c.live[name] = true
 	}
-	return c, navigator.New(navigator.Config{
+	return c, c.navigator(func(h home) navigator.Home { return h })
+}
+
+// navigator returns a Navigator that calls the homes which open returns for those of the cluster.
+func (c *cluster) navigator(open func(h home) navigator.Home) *navigator.Navigator {
+	return navigator.New(navigator.Config{
 		Self:     "self",
 		View:     func(time.Time) locator.View { return locator.View{}.WithMembers(descriptor.Members{Hosts: c.hosts}) },
 		Live:     func(host string) bool { return c.live[host] },
-		Open:     func(h descriptor.Host) navigator.Home { return home{cluster: c, host: h.ID} },
+		Open:     func(h descriptor.Host) navigator.Home { return open(home{cluster: c, host: h.ID}) },
 		Counters: &counter.Set{},
 		Logger:   zerolog.Nop(),
 	})
--- a/navigator/release_test.go
+++ b/navigator/release_test.go
@@ -39,16 +39,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, _ := newCluster(3)
 		var bound []string
-		n := navigator.New(navigator.Config{
-			Self: "self",
-			View: func(time.Time) locator.View { return locator.View{}.WithMembers(descriptor.Members{Hosts: c.hosts}) },
-			Live: func(host string) bool { return c.live[host] },
-			Open: func(h descriptor.Host) navigator.Home {
-				return mixedHome{home{cluster: c, host: h.ID}, c.ranked()[0], &bound}
-			},
-			Counters: &counter.Set{},
-			Logger:   zerolog.Nop(),
-		})
+		n := c.navigator(func(h home) navigator.Home { return mixedHome{h, c.ranked()[0], &bound} })
 		_, bindErr := n.Bind(t.Context(), &messenger.BindRequest{})
 		_, err := n.Begin(t.Context(), &messenger.BeginRequest{})
 		home := c.ranked()[0]
--- a/navigator/unrecordable_test.go
+++ b/navigator/unrecordable_test.go
@@ -5,16 +5,11 @@
 	"errors"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 	"github.com/twitchtv/twirp"
 
-	"github.com/citronpier/citronpier/counter"
-	"github.com/citronpier/citronpier/descriptor"
 	"github.com/citronpier/citronpier/keeper"
-	"github.com/citronpier/citronpier/locator"
 	"github.com/citronpier/citronpier/messenger"
 	"github.com/citronpier/citronpier/navigator"
 )
@@ -35,14 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, _ := newCluster(3)
 		var ended []string
-		n := navigator.New(navigator.Config{
-			Self:     "self",
-			View:     func(time.Time) locator.View { return locator.View{}.WithMembers(descriptor.Members{Hosts: c.hosts}) },
-			Live:     func(host string) bool { return c.live[host] },
-			Open:     func(h descriptor.Host) navigator.Home { return refusingHome{home{cluster: c, host: h.ID}, &ended} },
-			Counters: &counter.Set{},
-			Logger:   zerolog.Nop(),
-		})
+		n := c.navigator(func(h home) navigator.Home { return refusingHome{h, &ended} })
 		_, endErr := n.End(t.Context(), &messenger.EndRequest{Retain: true})
 		_, err := n.Begin(t.Context(), &messenger.BeginRequest{})
 		first := c.ranked()[0]
