--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(*run) error{
 	"kept": keptTurn,
 	"goes": goesOn,
+	"over": keptOverRestart,
 }
 
 // BrokenError reports that the rule of the case was broken.
