--- a/review/standin3/goes.go
+++ b/review/standin3/goes.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// warmStreams is the number of streams before the disruption: the share of lost answers stays
-	// below that of the sheet, 5 in 100.
-	warmStreams = 120
+	// warmStreams is the number of streams before the disruption: the share of lost answers at an
+	// upstream stays below maxLostPercent, the largest in the site file.
+	warmStreams    = 400
+	maxLostPercent = 5
 	// longStreams is the number of streams that are under way at the disruption. Those at the
 	// upstream that leaves lose their answer.
 	longStreams = 4
@@ -79,6 +80,17 @@
 	if chosen == nil {
 		return errors.New("no long stream has run")
 	}
+	ran, lost := 0, 0
+	for _, w := range chosen.works() {
+		ran++
+		if strings.HasPrefix(w.id, "long") && w.after == 0 {
+			lost++
+		}
+	}
+	r.record.printf("%s ran %d requests and loses the answers of %d", chosen.id, ran, lost)
+	if lost*100 > ran*maxLostPercent {
+		return errors.New("more answers are lost than the pages allow")
+	}
 	return r.checkOverlap(append(a.works(), b.works()...))
 }
 
--- a/review/standin3/kept.go
+++ b/review/standin3/kept.go
@@ -40,7 +40,7 @@
 	r.store.setAfterAppend(nil)
 	select {
 	case <-thawed:
-	default:
+	case <-time.After(time.Second):
 		return errors.New("the record of the turn was not seen")
 	}
 	if first.status != http.StatusOK || !first.whole {
@@ -94,7 +94,7 @@
 
 // freezeAtRecord stops the process of an entry host once the turn's record is in the store, while
 // the answer of the store is on its way to the home, and continues it later. The returned channel
-// is closed then.
+// is closed then, or once the record was seen if there is no disruption.
 func (r *run) freezeAtRecord(model *upstream, turn string, place appendCall, entry *host) <-chan struct{} {
 	thawed := make(chan struct{})
 	var once sync.Once
