--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,4 +1,4 @@
-// Command standin3 runs the cases 11 to 15 of the review. It starts hosts of citronpier as separate
+// Command standin3 runs the cases 11 to 13 of the review. It starts hosts of citronpier as separate
 // processes, with stand-ins for the platform's store, the upstreams and the callers, brings about
 // the disruption of one case, and checks the rule that the case names from what callers and
 // upstreams see.
--- a/review/standin3/upstream.go
+++ b/review/standin3/upstream.go
@@ -28,7 +28,7 @@
 	began, ended       time.Time
 }
 
-// upstream is a stand-in for an upstream: a model runner whose streams have events with the ids 1
+// upstream is a stand-in for an upstream: an engine whose streams have events with the ids 1
 // to 14, or a plain service. It is safe for concurrent use.
 type upstream struct {
 	id, service string
